Foundation: build, base values, HTTP, links, metrics, settings and interfaces

Nothing stood before. This lays down what every later part uses: CMake with presets and one precompiled header, checked JSON reading, errors with step and peer, JSON log lines over log4cplus, Boost.Histogram metrics, an RCU cell over liburcu, HTTP server and client over Beast, links over nng push and pull sockets, and the interfaces between the parts.

Weighed: one nng pair socket a link needs a listener for each peer, and polymorphic pair mode drops messages at a slow peer; one pull socket a process and one push socket a peer needs neither. Debian's Abseil has a string_view of its own, so joining texts goes through base/text.h.

--- /dev/null
+++ b/cmake/pch.cpp
@@ -0,0 +1,2 @@
+//! The precompiled header needs one translation unit of its own.
+#include "pch.h"
--- /dev/null
+++ b/src/connection/http/httpclient.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <absl/status/statusor.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ssl/context.hpp>
+
+#include "connection/http/ihttpconnection.h"
+
+//! HTTP towards backend servers, the platform and other processes, over Boost.Beast.
+namespace nutmegplank::connection::http {
+
+//! How to connect.
+struct ConnectOptions
+{
+    base::Duration timeout = std::chrono::seconds(2);
+    //! TCP_USER_TIMEOUT: unacknowledged bytes older than this end the connection; 0 = the system's
+    //! default.
+    base::Duration userTimeout = std::chrono::seconds(5);
+    std::uint64_t bodyBytes = 64 * 1024 * 1024;     //!< Largest answer.
+    std::shared_ptr<boost::asio::ssl::context> tls; //!< Null for plain TCP.
+};
+
+//! Connects to \a endpoint ("IP number:port") on the executor of the calling coroutine.
+auto connect(std::string endpoint, ConnectOptions options = {})
+    -> boost::asio::awaitable<absl::StatusOr<std::unique_ptr<IHttpConnection>>>;
+
+//! One exchange on a connection of its own, with the whole body; \a timeout covers all of it. On an
+//! error after connecting, whether the peer acted is not known.
+auto fetch(std::string endpoint, Request request, base::Duration timeout,
+           ConnectOptions options = {}) -> boost::asio::awaitable<absl::StatusOr<Response>>;
+
+} // namespace nutmegplank::connection::http
--- /dev/null
+++ b/src/connection/http/internal/httpclient.cpp
@@ -0,0 +1,100 @@
+#include "connection/http/httpclient.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/ssl.hpp>
+
+#include "base/status.h"
+#include "connection/http/internal/httpconnection.h"
+#include "process/clock/clock.h"
+
+namespace nutmegplank::connection::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+
+auto toEndpoint(const std::string &text) -> absl::StatusOr<Tcp::endpoint>
+{
+    const auto colon = text.rfind(':');
+    auto error = beast::error_code();
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    const auto port = colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1);
+    if (error || port <= 0 || port > std::numeric_limits<std::uint16_t>::max())
+        return base::makeError(absl::StatusCode::kInvalidArgument, "no IP number with a port",
+                               { "http.connect", text });
+    return Tcp::endpoint(address, static_cast<std::uint16_t>(port));
+}
+
+auto failure(std::string_view step, const std::string &peer, beast::error_code error)
+    -> absl::Status
+{
+    return base::makeError(absl::StatusCode::kUnavailable, error.message(),
+                           { std::string(step), peer });
+}
+
+} // namespace
+
+auto connect(std::string endpoint, ConnectOptions options)
+    -> asio::awaitable<absl::StatusOr<std::unique_ptr<IHttpConnection>>>
+{
+    const auto target = toEndpoint(endpoint);
+    if (!target.ok())
+        co_return target.status();
+    auto stream = beast::tcp_stream(co_await asio::this_coro::executor);
+    stream.expires_after(options.timeout);
+    auto [error] = co_await stream.async_connect(*target, USE_TUPLE);
+    if (error)
+        co_return failure("http.connect", endpoint, error);
+    auto ignored = beast::error_code();
+    stream.socket().set_option(Tcp::no_delay(true), ignored);
+    if (options.userTimeout.count() > 0)
+        stream.socket().set_option(
+            UserTimeout(static_cast<int>(base::toMilliseconds(options.userTimeout))), ignored);
+    if (options.tls == nullptr)
+        co_return std::make_unique<HttpConnection<beast::tcp_stream>>(std::move(stream), endpoint,
+                                                                      options.bodyBytes);
+    auto secure = beast::ssl_stream<beast::tcp_stream>(std::move(stream), *options.tls);
+    auto [handshakeError] =
+        co_await secure.async_handshake(asio::ssl::stream_base::client, USE_TUPLE);
+    if (handshakeError)
+        co_return failure("http.handshake", endpoint, handshakeError);
+    co_return std::make_unique<HttpConnection<beast::ssl_stream<beast::tcp_stream>>>(
+        std::move(secure), endpoint, options.bodyBytes);
+}
+
+auto fetch(std::string endpoint, Request request, base::Duration timeout, ConnectOptions options)
+    -> asio::awaitable<absl::StatusOr<Response>>
+{
+    const auto deadline = process::clock::now() + timeout;
+    const auto left = [deadline] {
+        return std::max(base::Duration(1000), deadline - process::clock::now());
+    };
+    options.timeout = std::min(options.timeout, timeout);
+    auto connection = co_await connect(endpoint, options);
+    if (!connection.ok())
+        co_return connection.status();
+    const auto sent = co_await (*connection)->send(request, left());
+    if (!sent.ok())
+        co_return sent;
+    auto response = co_await (*connection)->readHead(left());
+    if (!response.ok())
+        co_return response;
+    while (true) {
+        auto part = co_await (*connection)->readBody(left());
+        if (!part.ok())
+            co_return part.status();
+        if (!part->has_value())
+            co_return response;
+        response->body += **part;
+    }
+}
+
+} // namespace nutmegplank::connection::http
--- /dev/null
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -0,0 +1,107 @@
+#include "connection/http/internal/httpconnection.h"
+
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/ssl.hpp>
+
+#include "base/status.h"
+
+namespace nutmegplank::connection::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+constexpr auto READ_BYTES = std::size_t(16 * 1024);
+
+} // namespace
+
+template <typename Stream>
+auto HttpConnection<Stream>::errorAt(std::string_view step, beast::error_code error) const
+    -> absl::Status
+{
+    const auto timedOut = error == beast::error::timeout;
+    const auto code =
+        timedOut ? absl::StatusCode::kDeadlineExceeded : absl::StatusCode::kUnavailable;
+    return base::makeError(code, error.message(), { std::string(step), m_peer });
+}
+
+template <typename Stream>
+auto HttpConnection<Stream>::send(const Request &request, base::Duration timeout,
+                                  std::function<void()> onFirstByte)
+    -> asio::awaitable<absl::Status>
+{
+    m_reusable = false;
+    auto message = beast::http::request<beast::http::string_body>();
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(beast::http::field::host, m_peer);
+    for (const auto &header : request.headers)
+        message.insert(header.name, header.value);
+    message.body() = request.body;
+    message.prepare_payload();
+    m_headRequest = request.method == "HEAD";
+    if (onFirstByte)
+        onFirstByte();
+    tcp().expires_after(timeout);
+    auto [error, bytes] = co_await beast::http::async_write(m_stream, message, USE_TUPLE);
+    co_return error ? errorAt("http.send", error) : absl::OkStatus();
+}
+
+template <typename Stream>
+auto HttpConnection<Stream>::readHead(base::Duration timeout)
+    -> asio::awaitable<absl::StatusOr<Response>>
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->body_limit(m_bodyLimit);
+    m_parser->skip(m_headRequest);
+    tcp().expires_after(timeout);
+    auto [error, bytes] =
+        co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, USE_TUPLE);
+    if (error)
+        co_return errorAt("http.readHead", error);
+    auto head = Response();
+    head.status = m_parser->get().result_int();
+    for (const auto &field : m_parser->get())
+        head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    co_return head;
+}
+
+template <typename Stream>
+auto HttpConnection<Stream>::readBody(base::Duration timeout)
+    -> asio::awaitable<absl::StatusOr<std::optional<std::string>>>
+{
+    auto part = std::string(READ_BYTES, '\0');
+    while (!m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = part.data();
+        body.size = part.size();
+        tcp().expires_after(timeout);
+        auto [error, bytes] =
+            co_await beast::http::async_read_some(m_stream, m_buffer, *m_parser, USE_TUPLE);
+        if (error && error != beast::http::error::need_buffer)
+            co_return errorAt("http.readBody", error);
+        const auto received = part.size() - body.size;
+        if (received == 0)
+            continue;
+        part.resize(received);
+        co_return std::optional<std::string>(std::move(part));
+    }
+    m_reusable = m_parser->keep_alive();
+    co_return std::optional<std::string>();
+}
+
+template <typename Stream>
+auto HttpConnection<Stream>::close() -> void
+{
+    m_reusable = false;
+    auto ignored = beast::error_code();
+    tcp().socket().close(ignored);
+}
+
+template class HttpConnection<beast::tcp_stream>;
+template class HttpConnection<beast::ssl_stream<beast::tcp_stream>>;
+
+} // namespace nutmegplank::connection::http
--- /dev/null
+++ b/src/connection/http/internal/httpconnection.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include "connection/http/ihttpconnection.h"
+
+namespace nutmegplank::connection::http {
+
+//! IHttpConnection over \a Stream (plain TCP or TLS).
+template <typename Stream>
+class HttpConnection : public IHttpConnection
+{
+public:
+    HttpConnection(Stream stream, std::string peer, std::uint64_t bodyLimit)
+        : m_stream(std::move(stream))
+        , m_peer(std::move(peer))
+        , m_bodyLimit(bodyLimit)
+    { }
+
+    auto send(const Request &request, base::Duration timeout, std::function<void()> onFirstByte)
+        -> boost::asio::awaitable<absl::Status> override;
+    auto readHead(base::Duration timeout)
+        -> boost::asio::awaitable<absl::StatusOr<Response>> override;
+    auto readBody(base::Duration timeout)
+        -> boost::asio::awaitable<absl::StatusOr<std::optional<std::string>>> override;
+    auto reusable() const -> bool override { return m_reusable; }
+    auto close() -> void override;
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    auto errorAt(std::string_view step, boost::beast::error_code error) const -> absl::Status;
+    auto tcp() -> boost::beast::tcp_stream & { return boost::beast::get_lowest_layer(m_stream); }
+
+    Stream m_stream;
+    std::string m_peer;
+    std::uint64_t m_bodyLimit;
+    boost::beast::flat_buffer m_buffer;
+    std::unique_ptr<Parser> m_parser;
+    bool m_headRequest = false;
+    bool m_reusable = true;
+};
+
+} // namespace nutmegplank::connection::http
--- /dev/null
+++ b/src/connection/http/internal/httpsession.cpp
@@ -0,0 +1,222 @@
+#include "connection/http/internal/httpsession.h"
+
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/ssl.hpp>
+
+#include "base/text.h"
+
+namespace nutmegplank::connection::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+//! How long a connection may wait for its next request while the server drains.
+constexpr auto DRAIN_CHECK = std::chrono::milliseconds(200);
+
+auto statusForReadError(beast::error_code error) -> beast::http::status
+{
+    if (error == beast::http::error::body_limit)
+        return beast::http::status::payload_too_large;
+    if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow)
+        return beast::http::status::request_header_fields_too_large;
+    return beast::http::status::bad_request;
+}
+
+//! A caller that is too slow or has left cannot be answered: Beast closes the socket on a timeout.
+auto isProtocolError(beast::error_code error) -> bool
+{
+    const auto &category = beast::http::make_error_code(beast::http::error::bad_method).category();
+    return error.category() == category && error != beast::http::error::end_of_stream
+        && error != beast::http::error::partial_message;
+}
+
+template <typename Message>
+auto copyHeaders(const Headers &headers, Message &message) -> void
+{
+    for (const auto &header : headers)
+        message.insert(header.name, header.value);
+}
+
+} // namespace
+
+template <typename Stream>
+auto HttpSession<Stream>::waitForFirstByte() -> asio::awaitable<bool>
+{
+    if (m_buffer.size() > 0)
+        co_return true;
+    auto waited = base::Duration(0);
+    while (!m_host->draining && waited < m_host->limits.idleTime) {
+        tcp().expires_never();
+        auto timer = asio::steady_timer(tcp().get_executor());
+        using namespace asio::experimental::awaitable_operators;
+        timer.expires_after(DRAIN_CHECK);
+        const auto outcome =
+            co_await (tcp().socket().async_wait(asio::ip::tcp::socket::wait_read, USE_TUPLE)
+                      || timer.async_wait(USE_TUPLE));
+        if (outcome.index() == 0)
+            co_return !std::get<0>(std::get<0>(outcome));
+        waited += DRAIN_CHECK;
+    }
+    co_return false;
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::toRequest(Parser &parser) -> Request
+{
+    auto message = parser.release();
+    m_version = message.version();
+    m_keepAlive = message.keep_alive();
+    m_hasBody = message.method() != beast::http::verb::head;
+    auto request = Request();
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message)
+        request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    request.body = std::move(message.body());
+    request.peer = m_peer;
+    return request;
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::readRequest() -> asio::awaitable<std::optional<Request>>
+{
+    auto parser = Parser();
+    parser.header_limit(m_host->limits.headerBytes);
+    parser.body_limit(m_host->limits.bodyBytes);
+    tcp().expires_after(m_host->limits.headerTime);
+    auto [headError, headBytes] =
+        co_await beast::http::async_read_header(m_stream, m_buffer, parser, USE_TUPLE);
+    if (headError) {
+        co_await refuse(headError);
+        co_return std::nullopt;
+    }
+    if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
+        auto proceed =
+            beast::http::response<beast::http::empty_body>(beast::http::status::continue_, 11);
+        co_await beast::http::async_write(m_stream, proceed, USE_TUPLE);
+    }
+    tcp().expires_after(m_host->limits.bodyTime);
+    auto [bodyError, bodyBytes] =
+        co_await beast::http::async_read(m_stream, m_buffer, parser, USE_TUPLE);
+    if (bodyError) {
+        co_await refuse(bodyError);
+        co_return std::nullopt;
+    }
+    co_return toRequest(parser);
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::refuse(beast::error_code error) -> asio::awaitable<void>
+{
+    if (!isProtocolError(error))
+        co_return;
+    m_keepAlive = false;
+    m_started = false;
+    m_finished = false;
+    const auto status = static_cast<std::uint32_t>(statusForReadError(error));
+    const auto body =
+        base::concat(R"({"error":{"code":"malformed_request","ran":"not_run","message":")",
+                     error.message(), R"("}})");
+    co_await respond(jsonResponse(status, body));
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::run() -> asio::awaitable<void>
+{
+    while (m_keepAlive && co_await waitForFirstByte()) {
+        m_started = false;
+        m_finished = false;
+        ++m_host->exchanges;
+        auto request = co_await readRequest();
+        if (request.has_value())
+            co_await m_host->handler(std::move(*request), *this);
+        --m_host->exchanges;
+        if (!request.has_value() || !m_finished)
+            break;
+    }
+    auto ignored = beast::error_code();
+    tcp().socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::writeError(beast::error_code error) const -> absl::Status
+{
+    return base::makeError(absl::StatusCode::kUnavailable, error.message(),
+                           { "http.answer", m_peer });
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::respond(Response response) -> asio::awaitable<absl::Status>
+{
+    if (m_host->draining)
+        m_keepAlive = false;
+    auto message = beast::http::response<beast::http::string_body>(
+        static_cast<beast::http::status>(response.status), m_version);
+    copyHeaders(response.headers, message);
+    message.keep_alive(m_keepAlive);
+    message.body() = std::move(response.body);
+    message.content_length(message.body().size());
+    if (!m_hasBody)
+        message.body().clear();
+    m_started = true;
+    tcp().expires_after(m_host->limits.writeTime);
+    auto [error, bytes] = co_await beast::http::async_write(m_stream, message, USE_TUPLE);
+    if (error)
+        co_return writeError(error);
+    m_finished = true;
+    co_return absl::OkStatus();
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::startStream(Response head) -> asio::awaitable<absl::Status>
+{
+    auto message = beast::http::response<beast::http::empty_body>(
+        static_cast<beast::http::status>(head.status), m_version);
+    copyHeaders(head.headers, message);
+    message.keep_alive(m_keepAlive);
+    message.chunked(true);
+    m_started = true;
+    auto serializer = beast::http::response_serializer<beast::http::empty_body>(message);
+    tcp().expires_after(m_host->limits.writeTime);
+    auto [error, bytes] = co_await beast::http::async_write_header(m_stream, serializer, USE_TUPLE);
+    co_return error ? writeError(error) : absl::OkStatus();
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::writeChunk(std::string_view data) -> asio::awaitable<absl::Status>
+{
+    if (data.empty())
+        co_return absl::OkStatus();
+    tcp().expires_after(m_host->limits.writeTime);
+    const auto buffer = beast::http::make_chunk(asio::const_buffer(data.data(), data.size()));
+    auto [error, bytes] = co_await asio::async_write(m_stream, buffer, USE_TUPLE);
+    co_return error ? writeError(error) : absl::OkStatus();
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::endStream() -> asio::awaitable<absl::Status>
+{
+    tcp().expires_after(m_host->limits.writeTime);
+    auto [error, bytes] =
+        co_await asio::async_write(m_stream, beast::http::make_chunk_last(), USE_TUPLE);
+    if (error)
+        co_return writeError(error);
+    m_finished = true;
+    co_return absl::OkStatus();
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::abort() -> void
+{
+    auto ignored = beast::error_code();
+    tcp().socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    tcp().socket().close(ignored);
+}
+
+template class HttpSession<beast::tcp_stream>;
+template class HttpSession<beast::ssl_stream<beast::tcp_stream>>;
+
+} // namespace nutmegplank::connection::http
--- /dev/null
+++ b/src/connection/http/internal/httpsession.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include "base/status.h"
+#include "connection/http/httpserver.h"
+
+namespace nutmegplank::connection::http {
+
+//! Shared by the server and its sessions.
+struct SessionHost
+{
+    ServerLimits limits;
+    HttpHandler handler;
+    std::atomic<bool> draining { false };
+    std::atomic<std::size_t> connections { 0 };
+    std::atomic<std::size_t> exchanges { 0 };
+};
+
+//! One connection of a caller over \a Stream (plain TCP or TLS).
+template <typename Stream>
+class HttpSession : public IHttpResponder
+{
+public:
+    HttpSession(std::shared_ptr<SessionHost> host, Stream stream, std::string peer)
+        : m_host(std::move(host))
+        , m_stream(std::move(stream))
+        , m_peer(std::move(peer))
+    {
+        ++m_host->connections;
+    }
+    ~HttpSession() override { --m_host->connections; }
+    HttpSession(const HttpSession &) = delete;
+    auto operator=(const HttpSession &) -> HttpSession & = delete;
+
+    //! Serves requests until the caller leaves, errs or the server drains.
+    auto run() -> boost::asio::awaitable<void>;
+    auto respond(Response response) -> boost::asio::awaitable<absl::Status> override;
+    auto startStream(Response head) -> boost::asio::awaitable<absl::Status> override;
+    auto writeChunk(std::string_view data) -> boost::asio::awaitable<absl::Status> override;
+    auto endStream() -> boost::asio::awaitable<absl::Status> override;
+    auto abort() -> void override;
+    auto started() const -> bool override { return m_started; }
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    auto readRequest() -> boost::asio::awaitable<std::optional<Request>>;
+    auto refuse(boost::beast::error_code error) -> boost::asio::awaitable<void>;
+    auto waitForFirstByte() -> boost::asio::awaitable<bool>;
+    auto toRequest(Parser &parser) -> Request;
+    auto writeError(boost::beast::error_code error) const -> absl::Status;
+    auto tcp() -> boost::beast::tcp_stream & { return boost::beast::get_lowest_layer(m_stream); }
+
+    std::shared_ptr<SessionHost> m_host;
+    Stream m_stream;
+    std::string m_peer;
+    boost::beast::flat_buffer m_buffer;
+    unsigned m_version = 11;
+    bool m_keepAlive = true;
+    bool m_started = false;
+    bool m_finished = false;
+    bool m_hasBody = true;
+};
+
+} // namespace nutmegplank::connection::http
