--- /dev/null
+++ b/src/request/step/istepservice.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "connection/http/ihttpresponder.h"
+#include "process/metrics/metrics.h"
+#include "request/execution/irequestrunner.h"
+#include "version/state/iplatformlog.h"
+
+//! Steps of trainers: groups of samples, pulled and acknowledged. See docs/API.md.
+namespace nutmegplank::request::step {
+
+//! The caller as admission has recognised it.
+struct StepCaller
+{
+    std::string workspace;
+    std::string keyId;
+};
+
+class IStepService
+{
+public:
+    virtual ~IStepService() = default;
+
+    //! Serves one request under /v1/steps or /v1/weights.
+    virtual auto handle(connection::http::Request request, StepCaller caller,
+                        connection::http::IHttpResponder &responder)
+        -> boost::asio::awaitable<void> = 0;
+    //! Ends all steps that were opened with a withdrawn key.
+    virtual auto cutKey(const std::string &keyId) -> void = 0;
+    //! Begins the graceful shutdown: no new steps; open ones go on until closed or until all their
+    //! finished samples are acknowledged and the trainer has been told to move ("moved": true in
+    //! the pull's answer).
+    virtual auto drain() -> void = 0;
+    //! Steps that still hold this process.
+    virtual auto openSteps() const -> std::size_t = 0;
+};
+
+//! All references must outlive the service.
+auto makeStepService(boost::asio::io_context &context, execution::IRequestRunner &runner,
+                     version::state::IPlatformLog &log, process::metrics::Registry &metrics)
+    -> std::unique_ptr<IStepService>;
+
+} // namespace nutmegplank::request::step
--- /dev/null
+++ b/src/version/state/platformlog.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "version/state/iplatformlog.h"
+
+namespace nutmegplank::version::state {
+
+struct PlatformLogOptions
+{
+    std::string endpoint; //!< "address:port" of the log service.
+    std::string member;   //!< Id of this process, put into each record.
+    base::Duration pollTime = std::chrono::seconds(2); //!< Longest wait of one read.
+};
+
+//! Follows the log from its first kept record or newest snapshot on.
+auto makePlatformLog(boost::asio::io_context &context, PlatformLogOptions options)
+    -> std::unique_ptr<IPlatformLog>;
+
+} // namespace nutmegplank::version::state
