--- /dev/null
+++ b/src/version/configuration/codec.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+
+#include "base/enumtable.h"
+#include "base/jsonreader.h"
+#include "version/configuration/configuration.h"
+
+//! The one JSON form of declared objects: in the log, in declarations and in exports.
+namespace nutmegplank::version::configuration {
+
+//! What a change or a declaration is about.
+enum class ObjectKind {
+    Workspace,
+    Key,
+    Service,
+    Route,
+    Zone,
+    Preset,
+    PresetInForce,
+};
+
+constexpr auto OBJECT_KIND_NAMES = base::EnumTable<ObjectKind, 7> { {
+    { ObjectKind::Workspace, "workspace" },
+    { ObjectKind::Key, "key" },
+    { ObjectKind::Service, "service" },
+    { ObjectKind::Route, "route" },
+    { ObjectKind::Zone, "zone" },
+    { ObjectKind::Preset, "preset" },
+    { ObjectKind::PresetInForce, "preset_in_force" },
+} };
+
+constexpr auto SERVICE_KIND_NAMES = base::EnumTable<ServiceKind, 2> { {
+    { ServiceKind::Engine, "engine" },
+    { ServiceKind::Plain, "plain" },
+} };
+
+// Problems stay in the reader; ask its finish().
+auto parseWorkspace(base::ObjectReader &reader) -> Workspace;
+auto parseKey(base::ObjectReader &reader) -> Key;
+auto parseService(base::ObjectReader &reader) -> Service;
+auto parseRoute(base::ObjectReader &reader) -> Route;
+auto parseZone(base::ObjectReader &reader) -> Zone;
+auto parsePreset(base::ObjectReader &reader) -> Preset;
+
+auto toJson(const Workspace &workspace) -> boost::json::object;
+auto toJson(const Key &key) -> boost::json::object;
+auto toJson(const Service &service) -> boost::json::object;
+auto toJson(const Route &route) -> boost::json::object;
+auto toJson(const Zone &zone) -> boost::json::object;
+auto toJson(const Preset &preset) -> boost::json::object;
+
+//! The whole as one declaration file; the version is not part of it.
+auto toJson(const Configuration &configuration) -> boost::json::object;
+
+} // namespace nutmegplank::version::configuration
--- /dev/null
+++ b/src/version/configuration/internal/declarations.cpp
@@ -0,0 +1,103 @@
+#include "version/configuration/declarations.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <boost/json.hpp>
+
+#include "base/jsonreader.h"
+#include "base/text.h"
+#include "version/configuration/change.h"
+#include "version/configuration/codec.h"
+
+namespace nutmegplank::version::configuration {
+
+namespace {
+
+constexpr auto FILE_SUFFIX = ".json";
+
+template <typename Object, typename Parse>
+auto readObjects(base::ObjectReader &file, std::string_view field, std::string_view nameField,
+                 std::map<std::string, Object> &objects, Parse parse) -> void
+{
+    for (auto &reader : file.objects(field)) {
+        auto object = parse(reader);
+        auto name = reader.string(nameField, "");
+        if (!name.empty() && objects.contains(name))
+            reader.fail(nameField, base::concat("names \"", name, "\", which is declared already"));
+        file.absorb(reader);
+        objects.emplace(std::move(name), std::move(object));
+    }
+}
+
+auto readPresetInForce(base::ObjectReader &file, Configuration &configuration) -> void
+{
+    if (!file.has("preset_in_force"))
+        return;
+    const auto name = file.string("preset_in_force", "");
+    if (!configuration.presetInForce.empty())
+        file.fail("preset_in_force", "is declared already in another file");
+    configuration.presetInForce = name;
+}
+
+auto readFile(const DeclarationFile &declaration, Configuration &configuration) -> absl::Status
+{
+    const auto value = base::parseJson(declaration.text);
+    if (!value.ok())
+        return absl::InvalidArgumentError(base::concat(declaration.name, ": ", value.status().message()));
+    auto file = base::ObjectReader(*value, declaration.name);
+    readObjects(file, "workspaces", "name", configuration.workspaces, parseWorkspace);
+    readObjects(file, "keys", "id", configuration.keys, parseKey);
+    readObjects(file, "services", "name", configuration.services, parseService);
+    readObjects(file, "routes", "name", configuration.routes, parseRoute);
+    readObjects(file, "zones", "name", configuration.zones, parseZone);
+    readObjects(file, "presets", "name", configuration.presets, parsePreset);
+    readPresetInForce(file, configuration);
+    return file.finish();
+}
+
+auto readText(const std::filesystem::path &path) -> std::string
+{
+    auto stream = std::ifstream(path);
+    auto text = std::ostringstream();
+    text << stream.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+auto parseDeclarations(std::span<const DeclarationFile> files) -> absl::StatusOr<Configuration>
+{
+    auto configuration = Configuration();
+    for (const auto &file : files) {
+        const auto status = readFile(file, configuration);
+        if (!status.ok())
+            return status;
+    }
+    const auto references = checkReferences(configuration);
+    if (!references.ok())
+        return references;
+    rebuildIndexes(configuration);
+    return configuration;
+}
+
+auto loadDeclarations(const std::filesystem::path &folder) -> absl::StatusOr<Configuration>
+{
+    auto error = std::error_code();
+    auto paths = std::vector<std::filesystem::path>();
+    for (const auto &entry : std::filesystem::directory_iterator(folder, error)) {
+        if (entry.is_regular_file() && entry.path().extension() == FILE_SUFFIX)
+            paths.push_back(entry.path());
+    }
+    if (error)
+        return absl::InvalidArgumentError(base::concat(folder.string(), ": ", error.message()));
+    if (paths.empty())
+        return absl::InvalidArgumentError(base::concat(folder.string(), ": holds no .json file"));
+    std::sort(paths.begin(), paths.end());
+    auto files = std::vector<DeclarationFile>();
+    for (const auto &path : paths)
+        files.push_back({ path.filename().string(), readText(path) });
+    return parseDeclarations(files);
+}
+
+} // namespace nutmegplank::version::configuration
--- /dev/null
+++ b/src/version/state/internal/recentids.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+
+#include <boost/json/array.hpp>
+#include <absl/status/status.h>
+
+namespace nutmegplank::version::state {
+
+//! Ids of the newest records and where they counted. Part of the state, so that a process that
+//! starts from a snapshot takes the same records for duplicates.
+class RecentIds
+{
+public:
+    //! Where a record counted and whether it was accepted.
+    struct Entry
+    {
+        std::uint64_t idHash = 0;
+        std::uint64_t offset = 0;
+        bool accepted = false;
+    };
+
+    explicit RecentIds(std::size_t limit)
+        : m_limit(limit)
+    { }
+
+    auto find(std::string_view id) const -> std::optional<Entry>;
+    auto add(std::string_view id, std::uint64_t offset, bool accepted) -> void;
+    auto toJson() const -> boost::json::array;
+    auto restore(const boost::json::value &value) -> absl::Status;
+
+private:
+    auto add(Entry entry) -> void;
+
+    std::size_t m_limit;
+    std::deque<Entry> m_order;
+    std::unordered_map<std::uint64_t, Entry> m_byHash;
+};
+
+} // namespace nutmegplank::version::state
--- /dev/null
+++ b/src/version/state/internal/statecodec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+
+#include "base/jsonreader.h"
+#include "version/state/iplatformlog.h"
+
+namespace nutmegplank::version::state {
+
+auto stateToJson(const LogState &state) -> boost::json::object;
+
+//! Problems stay in \a reader.
+auto stateFromJson(base::ObjectReader &reader) -> LogState;
+
+auto auditToJson(const AuditEntry &entry) -> boost::json::object;
+
+} // namespace nutmegplank::version::state
--- a/src/version/state/iplatformlog.h
+++ b/src/version/state/iplatformlog.h
@@ -123,6 +123,8 @@
     bool conflict = false; //!< Lost a race; nothing changed.
 };
 
+using AuditEntryPtr = std::shared_ptr<const AuditEntry>;
+
 //! All that replay gives; immutable, one value an offset.
 struct LogState
 {
@@ -136,11 +138,18 @@
     std::map<std::uint64_t, UsageWindowState>
         windows; //!< By number; reported ones are dropped after a while.
     std::map<std::string, UsageMark> usageMarks; //!< By process.
-    std::vector<AuditEntry> audit;               //!< The newest ones.
+    std::vector<AuditEntryPtr> audit;            //!< The newest ones, oldest first.
 };
 
 using LogStatePtr = std::shared_ptr<const LogState>;
 
+//! The state as text, with what replay needs besides to go on from it.
+struct SerializedState
+{
+    std::uint64_t nextOffset = 0; //!< 0: there is no state yet.
+    std::string text;
+};
+
 //! The log as a process uses it.
 class IPlatformLog
 {
@@ -159,6 +168,11 @@
         -> boost::asio::awaitable<absl::StatusOr<std::uint64_t>> = 0;
     //! Runs after each change of the state, on a strand of its own. Handlers must not block.
     virtual auto onChange(std::function<void(LogStatePtr)> handler) -> void = 0;
+    //! For snapshots only.
+    virtual auto serializedState() -> boost::asio::awaitable<SerializedState>
+    {
+        co_return SerializedState();
+    }
 };
 
 } // namespace nutmegplank::version::state
--- a/src/version/state/platformlog.h
+++ b/src/version/state/platformlog.h
@@ -13,7 +13,8 @@
 {
     std::string endpoint; //!< "address:port" of the log service.
     std::string member;   //!< Id of this process, put into each record.
-    base::Duration pollTime = std::chrono::seconds(2); //!< Longest wait of one read.
+    //! Longest wait of one read; lastConfirmed() is about as fresh as that.
+    base::Duration pollTime = std::chrono::milliseconds(500);
 };
 
 //! Follows the log from its first kept record or newest snapshot on.
