--- a/src/base/jsonreader.h
+++ b/src/base/jsonreader.h
@@ -62,6 +62,8 @@
     auto fail(std::string_view field, std::string_view problem) -> void;
     //! Takes over the problem of a nested reader.
     auto absorb(ObjectReader &nested) -> void;
+    //! The first problem so far; unknown fields are none, for peers that may add some.
+    auto problem() const -> absl::Status { return m_problem; }
     //! The first problem, or the first field that nobody asked for.
     auto finish() -> absl::Status;
     auto place() const -> const std::string & { return m_place; }
--- a/src/process/logging/logging.h
+++ b/src/process/logging/logging.h
@@ -20,6 +20,15 @@
 //! One named value of a log line. Key material must never be passed.
 struct Field
 {
+    Field(std::string_view fieldName, const std::string &text)
+        : name(fieldName)
+        , value(boost::json::string(text))
+    { }
+    Field(std::string_view fieldName, boost::json::value fieldValue)
+        : name(fieldName)
+        , value(std::move(fieldValue))
+    { }
+
     std::string_view name;
     boost::json::value value;
 };
