--- a/src/process/membership/imembership.h
+++ b/src/process/membership/imembership.h
@@ -73,6 +73,13 @@
     std::uint64_t logOffset = 0;
 };
 
+//! Bytes of membership datagrams since the start, headers of UDP and IP left out.
+struct GossipTraffic
+{
+    std::uint64_t sentBytes = 0;
+    std::uint64_t receivedBytes = 0;
+};
+
 //! Failure detection and the list of members.
 class IMembership
 {
@@ -92,6 +99,7 @@
     //! \a bound and none of those heard has a newer one.
     virtual auto confirmsConfiguration(std::uint64_t version, base::TimePoint now,
                                        base::Duration bound) const -> bool = 0;
+    virtual auto traffic() const -> GossipTraffic { return {}; }
     //! Runs after each change of the view.
     virtual auto onChange(std::function<void(MemberViewPtr)> handler) -> void = 0;
 };
--- a/src/process/membership/internal/gossipmembership.cpp
+++ b/src/process/membership/internal/gossipmembership.cpp
@@ -131,6 +131,7 @@
             co_await m_socket.async_receive_from(asio::buffer(buffer), from, USE_TUPLE);
         if (error == asio::error::operation_aborted)
             co_return;
+        m_receivedBytes += size;
         auto datagram = gossip::Datagram();
         if (!error && datagram.ParseFromArray(buffer.data(), static_cast<int>(size)))
             handle(datagram, from, clock::now());
@@ -325,6 +326,7 @@
         datagram.mutable_updates()->RemoveLast();
     auto ignored = boost::system::error_code();
     const auto text = datagram.SerializeAsString();
+    m_sentBytes += text.size();
     m_socket.send_to(asio::buffer(text), endpoint, 0, ignored);
 }
 
--- a/src/process/membership/internal/gossipmembership.h
+++ b/src/process/membership/internal/gossipmembership.h
@@ -27,6 +27,7 @@
     auto hearsMajority(base::TimePoint now, base::Duration bound) const -> bool override;
     auto confirmsConfiguration(std::uint64_t version, base::TimePoint now,
                                base::Duration bound) const -> bool override;
+    auto traffic() const -> GossipTraffic override { return { m_sentBytes, m_receivedBytes }; }
     auto onChange(std::function<void(MemberViewPtr)> handler) -> void override;
 
 private:
@@ -67,6 +68,8 @@
     std::vector<std::string> m_targets;
     std::uint64_t m_sequence = 0;
     std::mt19937_64 m_random;
+    std::atomic<std::uint64_t> m_sentBytes { 0 };
+    std::atomic<std::uint64_t> m_receivedBytes { 0 };
     std::mutex m_handlerMutex;
     std::vector<std::function<void(MemberViewPtr)>> m_handlers;
 };
