--- /dev/null
+++ b/src/app/ctl/commands.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "app/ctl/context.h"
+
+namespace nutmegplank::app::ctl {
+
+// Changes
+auto runValidate(const Options &options) -> ExitCode;
+auto runPlan(Context &context) -> ExitCode;
+auto runApply(Context &context) -> ExitCode;
+auto runPresetUse(Context &context) -> ExitCode;
+auto runKeyGrant(Context &context) -> ExitCode;
+auto runKeyWithdraw(Context &context) -> ExitCode;
+//! Takes a zone out or back in.
+auto runZone(Context &context, bool out) -> ExitCode;
+
+// Views
+auto runStatus(Context &context) -> ExitCode;
+auto runAudit(Context &context) -> ExitCode;
+auto runExport(Context &context) -> ExitCode;
+
+} // namespace nutmegplank::app::ctl
--- a/src/process/admin/adminapi.h
+++ b/src/process/admin/adminapi.h
@@ -28,6 +28,8 @@
     std::vector<OperatorKey> operators;
     //! Lines of the controller's own for the status page, for instance leases held.
     std::function<boost::json::object()> status;
+    //! A process that was not heard for so long has stopped keyed work by itself.
+    base::Duration confirmBound = std::chrono::seconds(4);
 };
 
 //! A handler for all targets under /admin/v1.
--- a/src/version/configuration/change.h
+++ b/src/version/configuration/change.h
@@ -31,8 +31,8 @@
 
 //! \a base with \a changes put in force as \a version; all of them or an error. Deterministic, for
 //! each process applies each change by itself.
-auto applyChanges(const Configuration &base, std::span<const Change> changes,
-                  std::uint64_t version) -> absl::StatusOr<Configuration>;
+auto applyChanges(const Configuration &base, std::span<const Change> changes, std::uint64_t version)
+    -> absl::StatusOr<Configuration>;
 
 //! Checks that whatever an object names is there.
 auto checkReferences(const Configuration &configuration) -> absl::Status;
--- a/src/version/configuration/internal/change.cpp
+++ b/src/version/configuration/internal/change.cpp
@@ -112,7 +112,8 @@
             return missing("route", name, "workspace", route.workspace);
         const auto [owner, added] = owners.emplace(route.pathPrefix, name);
         if (!added)
-            return problem(base::concat("route \"", name, "\": field \"path_prefix\" is that of route \"",
+            return problem(base::concat("route \"", name,
+                                        "\": field \"path_prefix\" is that of route \"",
                                         owner->second, "\""));
     }
     return absl::OkStatus();
@@ -160,7 +161,8 @@
         auto change = Change();
         const auto kind = base::valueOf(OBJECT_KIND_NAMES, reader.string("object"));
         if (!kind)
-            reader.fail("object", base::concat("must be one of ", base::allowedNames(OBJECT_KIND_NAMES)));
+            reader.fail("object",
+                        base::concat("must be one of ", base::allowedNames(OBJECT_KIND_NAMES)));
         change.object = kind.value_or(ObjectKind::Workspace);
         change.name = reader.string("name", "");
         change.value = reader.raw("value");
@@ -195,8 +197,8 @@
                                                : json::value(configuration.presetInForce);
 }
 
-auto applyChanges(const Configuration &base, std::span<const Change> changes,
-                  std::uint64_t version) -> absl::StatusOr<Configuration>
+auto applyChanges(const Configuration &base, std::span<const Change> changes, std::uint64_t version)
+    -> absl::StatusOr<Configuration>
 {
     auto next = base;
     for (const auto &change : changes) {
--- a/src/version/configuration/internal/codec.cpp
+++ b/src/version/configuration/internal/codec.cpp
@@ -104,10 +104,11 @@
 {
     auto service = Service();
     service.name = reader.string("name");
-    const auto kind =
-        base::valueOf(SERVICE_KIND_NAMES, reader.string("kind", base::nameOf(SERVICE_KIND_NAMES, service.kind)));
+    const auto kind = base::valueOf(
+        SERVICE_KIND_NAMES, reader.string("kind", base::nameOf(SERVICE_KIND_NAMES, service.kind)));
     if (!kind)
-        reader.fail("kind", base::concat("must be one of ", base::allowedNames(SERVICE_KIND_NAMES)));
+        reader.fail("kind",
+                    base::concat("must be one of ", base::allowedNames(SERVICE_KIND_NAMES)));
     service.kind = kind.value_or(service.kind);
     service.shards = readCount(reader, "shards", { 1, MOST_SHARDS }, service.shards);
     service.coldLimit = readCount(reader, "cold_limit", { 1, LARGEST_LIMIT }, service.coldLimit);
@@ -181,8 +182,8 @@
 
 auto toJson(const Route &route) -> json::object
 {
-    return { { "name", route.name },       { "path_prefix", route.pathPrefix },
-             { "service", route.service }, { "open", route.open },
+    return { { "name", route.name },           { "path_prefix", route.pathPrefix },
+             { "service", route.service },     { "open", route.open },
              { "workspace", route.workspace }, { "idempotent", route.idempotent } };
 }
 
--- a/src/version/configuration/internal/declarations.cpp
+++ b/src/version/configuration/internal/declarations.cpp
@@ -44,7 +44,8 @@
 {
     const auto value = base::parseJson(declaration.text);
     if (!value.ok())
-        return absl::InvalidArgumentError(base::concat(declaration.name, ": ", value.status().message()));
+        return absl::InvalidArgumentError(
+            base::concat(declaration.name, ": ", value.status().message()));
     auto file = base::ObjectReader(*value, declaration.name);
     readObjects(file, "workspaces", "name", configuration.workspaces, parseWorkspace);
     readObjects(file, "keys", "id", configuration.keys, parseKey);
--- a/src/version/lease/internal/lease.cpp
+++ b/src/version/lease/internal/lease.cpp
@@ -81,7 +81,8 @@
         const auto after = m_machine.fencingNumber(now);
         if (!before && after)
             process::logging::info(
-                "lease.taken", { { "scope", boost::json::value(m_options.scope) }, { "fencing_number", *after } });
+                "lease.taken",
+                { { "scope", boost::json::value(m_options.scope) }, { "fencing_number", *after } });
     }
 
     auto nextAction() -> std::optional<LeaseAction>
@@ -132,12 +133,13 @@
             kind = state::RecordKind::LeaseRenewal;
             body["fencing_number"] = action.fencingNumber;
         }
-        const auto result = co_await m_log.append(kind, std::move(action.recordId),
-                                                  std::move(body), m_times.renewEvery);
+        const auto result = co_await m_log.append(kind, std::move(action.recordId), std::move(body),
+                                                  m_times.renewEvery);
         if (!result.ok())
-            process::logging::debug("lease.append_failed",
-                                    { { "scope", boost::json::value(m_options.scope) },
-                                      { "problem", boost::json::value(base::describe(result.status())) } });
+            process::logging::debug(
+                "lease.append_failed",
+                { { "scope", boost::json::value(m_options.scope) },
+                  { "problem", boost::json::value(base::describe(result.status())) } });
     }
 
     auto appendRelease(std::uint64_t fencingNumber) -> asio::awaitable<void>
@@ -147,8 +149,8 @@
                                           { "holder", m_options.holder },
                                           { "fencing_number", fencingNumber } };
         auto recordId = base::randomId();
-        co_await m_log.append(state::RecordKind::LeaseRelease, std::move(recordId),
-                              std::move(body), RELEASE_TIMEOUT);
+        co_await m_log.append(state::RecordKind::LeaseRelease, std::move(recordId), std::move(body),
+                              RELEASE_TIMEOUT);
     }
 
     asio::strand<asio::io_context::executor_type> m_strand;
--- a/src/version/lease/internal/leasemachine.cpp
+++ b/src/version/lease/internal/leasemachine.cpp
@@ -51,8 +51,8 @@
     } else {
         // The term in the record counts when it is longer than this process's own.
         const auto recorded = deriveLeaseTimes(m_seen.term).claimAfter;
-        const auto isFree = m_seen.holder.empty()
-            || now - m_seenAt >= std::max(m_times.claimAfter, recorded);
+        const auto isFree =
+            m_seen.holder.empty() || now - m_seenAt >= std::max(m_times.claimAfter, recorded);
         if (!isFree || !preferred)
             return std::nullopt;
         action.supersedes = m_seen.lastRenewalOffset;
@@ -80,9 +80,8 @@
 
 auto LeaseMachine::pruneSent(base::TimePoint now) -> void
 {
-    std::erase_if(m_sent, [this, now](const auto &entry) {
-        return now - entry.second >= m_times.term;
-    });
+    std::erase_if(m_sent,
+                  [this, now](const auto &entry) { return now - entry.second >= m_times.term; });
 }
 
 } // namespace nutmegplank::version::lease
--- a/src/version/lease/internal/leasemachine.h
+++ b/src/version/lease/internal/leasemachine.h
@@ -51,9 +51,9 @@
     std::string m_holder;
     LeaseTimes m_times;
     state::LeaseState m_seen;
-    base::TimePoint m_seenAt {};                    //!< When the newest claim or renewal was read.
-    bool m_observed = false;                        //!< Something was read at all.
-    std::map<std::string, base::TimePoint> m_sent;  //!< Own records by id, with when they were sent.
+    base::TimePoint m_seenAt {};                   //!< When the newest claim or renewal was read.
+    bool m_observed = false;                       //!< Something was read at all.
+    std::map<std::string, base::TimePoint> m_sent; //!< Own records by id, with when they were sent.
     std::optional<base::TimePoint> m_lastAttempt;
     base::TimePoint m_validUntil {};
     bool m_released = false;
--- a/src/version/state/internal/follower.cpp
+++ b/src/version/state/internal/follower.cpp
@@ -56,8 +56,9 @@
         return;
     const auto status = m_replay.restore(snapshot->text);
     if (!status.ok()) {
-        process::logging::error("log.snapshot_unusable",
-                                { { "problem", boost::json::value(std::string(status.message())) } });
+        process::logging::error(
+            "log.snapshot_unusable",
+            { { "problem", boost::json::value(std::string(status.message())) } });
         return;
     }
     m_recovering = false;
--- a/src/version/state/internal/platformlog.cpp
+++ b/src/version/state/internal/platformlog.cpp
@@ -41,8 +41,7 @@
     auto state() const -> LogStatePtr override { return m_log->state(); }
     auto lastConfirmed() const -> base::TimePoint override { return m_log->lastConfirmed(); }
     auto append(RecordKind kind, std::string recordId, boost::json::object body,
-                base::Duration timeout)
-        -> asio::awaitable<absl::StatusOr<std::uint64_t>> override
+                base::Duration timeout) -> asio::awaitable<absl::StatusOr<std::uint64_t>> override
     {
         return m_log->append(kind, std::move(recordId), std::move(body), timeout);
     }
@@ -99,9 +98,11 @@
         if (status.ok() != failed)
             ;
         else if (status.ok())
-            process::logging::info("log.reachable", { { "peer", boost::json::value(m_options.endpoint) } });
+            process::logging::info("log.reachable",
+                                   { { "peer", boost::json::value(m_options.endpoint) } });
         else
-            process::logging::warning("log.unreachable", { { "problem", boost::json::value(base::describe(status)) } });
+            process::logging::warning(
+                "log.unreachable", { { "problem", boost::json::value(base::describe(status)) } });
         failed = !status.ok();
         if (!failed)
             continue;
--- a/src/version/state/internal/recentids.cpp
+++ b/src/version/state/internal/recentids.cpp
@@ -51,8 +51,7 @@
     for (auto index = std::size_t(0); index < array.size(); index += FIELDS) {
         auto error = boost::json::error_code();
         const auto hash = array[index].to_number<std::uint64_t>(error);
-        const auto offset =
-            error ? 0 : array[index + 1].to_number<std::uint64_t>(error);
+        const auto offset = error ? 0 : array[index + 1].to_number<std::uint64_t>(error);
         if (error || !array[index + 2].is_bool())
             return absl::InvalidArgumentError("snapshot: a recent id is malformed");
         add(Entry { hash, offset, array[index + 2].as_bool() });
--- a/src/version/state/internal/recentids.h
+++ b/src/version/state/internal/recentids.h
@@ -6,8 +6,8 @@
 #include <string_view>
 #include <unordered_map>
 
-#include <boost/json/array.hpp>
 #include <absl/status/status.h>
+#include <boost/json/array.hpp>
 
 namespace nutmegplank::version::state {
 
--- a/src/version/state/internal/replay.cpp
+++ b/src/version/state/internal/replay.cpp
@@ -4,8 +4,8 @@
 
 #include "base/jsonreader.h"
 #include "base/text.h"
-#include "version/state/internal/statecodec.h"
 #include "version/state/records.h"
+#include "version/state/statecodec.h"
 
 namespace nutmegplank::version::state {
 
@@ -44,8 +44,8 @@
     auto &recent = kind == RecordKind::LeaseRenewal ? m_recentRenewals : m_recentOthers;
     const auto known = recent.find(record.id);
     if (known) {
-        const auto status = known->accepted ? absl::OkStatus()
-                                            : absl::AbortedError("its first copy was rejected");
+        const auto status =
+            known->accepted ? absl::OkStatus() : absl::AbortedError("its first copy was rejected");
         return Applied { known->offset, status, true };
     }
     const auto status = applyKind(record);
--- a/src/version/state/internal/snapshotassembler.cpp
+++ b/src/version/state/internal/snapshotassembler.cpp
@@ -62,10 +62,10 @@
 {
     if (m_pending.size() <= MOST_PENDING)
         return;
-    const auto oldest =
-        std::min_element(m_pending.begin(), m_pending.end(), [](const auto &left, const auto &right) {
-            return left.second.atOffset < right.second.atOffset;
-        });
+    const auto oldest = std::min_element(m_pending.begin(), m_pending.end(),
+                                         [](const auto &left, const auto &right) {
+                                             return left.second.atOffset < right.second.atOffset;
+                                         });
     m_pending.erase(oldest);
 }
 
--- a/src/version/state/internal/snapshotwriter.cpp
+++ b/src/version/state/internal/snapshotwriter.cpp
@@ -68,12 +68,12 @@
                                               { "at_offset", serialized.nextOffset },
                                               { "part", parts[index] } };
             auto recordId = base::concat("snapshot/", id, "/", index);
-            const auto status = co_await m_log.append(RecordKind::SnapshotChunk,
-                                                      std::move(recordId), std::move(body),
-                                                      APPEND_TIMEOUT);
+            const auto status = co_await m_log.append(
+                RecordKind::SnapshotChunk, std::move(recordId), std::move(body), APPEND_TIMEOUT);
             if (!status.ok()) {
-                process::logging::warning("snapshot.failed",
-                                          { { "problem", boost::json::value(base::describe(status.status())) } });
+                process::logging::warning(
+                    "snapshot.failed",
+                    { { "problem", boost::json::value(base::describe(status.status())) } });
                 co_return;
             }
         }
--- a/src/version/state/internal/statecodec.cpp
+++ b/src/version/state/internal/statecodec.cpp
@@ -1,4 +1,4 @@
-#include "version/state/internal/statecodec.h"
+#include "version/state/statecodec.h"
 
 #include <boost/json.hpp>
 
@@ -56,14 +56,12 @@
 
 auto toJson(const OrderState &order) -> json::object
 {
-    return { { "order_id", order.orderId },
-             { "order_kind", base::nameOf(ORDER_KIND_NAMES, order.kind) },
-             { "service", order.service },
-             { "zone", order.zone },
-             { "cheap", order.cheap },
-             { "server", order.server },
-             { "settled", order.settled },
-             { "offset", order.offset } };
+    return {
+        { "order_id", order.orderId }, { "order_kind", base::nameOf(ORDER_KIND_NAMES, order.kind) },
+        { "service", order.service },  { "zone", order.zone },
+        { "cheap", order.cheap },      { "server", order.server },
+        { "settled", order.settled },  { "offset", order.offset }
+    };
 }
 
 auto orderFrom(base::ObjectReader &reader) -> OrderState
@@ -173,8 +171,8 @@
 
 auto auditToJson(const AuditEntry &entry) -> json::object
 {
-    return { { "offset", entry.offset }, { "wall_ms", entry.wallMs }, { "who", entry.who },
-             { "why", entry.why },       { "what", entry.what },      { "before", entry.before },
+    return { { "offset", entry.offset }, { "wall_ms", entry.wallMs },   { "who", entry.who },
+             { "why", entry.why },       { "what", entry.what },        { "before", entry.before },
              { "after", entry.after },   { "conflict", entry.conflict } };
 }
 
--- a/src/version/state/internal/workrules.cpp
+++ b/src/version/state/internal/workrules.cpp
@@ -83,9 +83,9 @@
         if (known.version == weights.version && known.source == weights.source)
             return absl::OkStatus();
         if (known.version >= weights.version)
-            return absl::FailedPreconditionError(
-                base::concat("version ", weights.version, " of ", weights.model,
-                             " is not newer than ", known.version));
+            return absl::FailedPreconditionError(base::concat("version ", weights.version, " of ",
+                                                              weights.model, " is not newer than ",
+                                                              known.version));
     }
     state.weights[weights.model] = std::move(weights);
     return absl::OkStatus();
--- a/src/version/state/snapshotwriter.h
+++ b/src/version/state/snapshotwriter.h
@@ -13,8 +13,8 @@
 
 struct SnapshotWriterOptions
 {
-    std::uint64_t everyRecords = 2000;                //!< Well below what the log keeps.
-    base::Duration every = std::chrono::minutes(1);   //!< When fewer records come.
+    std::uint64_t everyRecords = 2000;              //!< Well below what the log keeps.
+    base::Duration every = std::chrono::minutes(1); //!< When fewer records come.
     base::Duration checkEvery = std::chrono::milliseconds(500);
 };
 
--- a/src/version/state/internal/statecodec.h
+++ b/src/version/state/statecodec.h
@@ -5,6 +5,7 @@
 #include "base/jsonreader.h"
 #include "version/state/iplatformlog.h"
 
+//! The state as JSON, for snapshots and for operators.
 namespace nutmegplank::version::state {
 
 auto stateToJson(const LogState &state) -> boost::json::object;
--- a/tests/standins/log/main.cpp
+++ b/tests/standins/log/main.cpp
@@ -98,8 +98,8 @@
             co_await responder.respond(problemResponse(status, "not now"));
             co_return;
         }
-        const auto offset = m_store.append(std::string(value->at("id").as_string()),
-                                           value->at("body").as_object());
+        const auto offset =
+            m_store.append(std::string(value->at("id").as_string()), value->at("body").as_object());
         if (fate == AppendFate::LoseAnswer) {
             responder.abort();
             co_return;
@@ -182,11 +182,11 @@
     auto runtime = process::runtime::Runtime(THREADS);
     auto service = LogService();
     auto limits = http::ServerLimits();
-    auto server = http::HttpServer(
-        runtime.context(), limits,
-        [&service](http::Request request, http::IHttpResponder &responder) {
-            return service.handle(std::move(request), responder);
-        });
+    auto server =
+        http::HttpServer(runtime.context(), limits,
+                         [&service](http::Request request, http::IHttpResponder &responder) {
+                             return service.handle(std::move(request), responder);
+                         });
     const auto bound = server.listen(address, port);
     if (!bound.ok())
         process::runtime::exitForBadSettings(base::toStd(bound.status().message()));
