--- /dev/null
+++ b/src/request/queue/internal/fifoqueue.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <list>
+
+#include "request/queue/iqueue.h"
+
+namespace nutmegplank::request::queue {
+
+//! The plain baseline: order of arrival, whatever the priority or workspace.
+class FifoQueue : public IQueue
+{
+public:
+    explicit FifoQueue(std::size_t bound)
+        : m_bound(bound)
+    { }
+
+    auto push(QueueItem item) -> bool override;
+    auto take(const CanStart &canStart) -> std::optional<QueueItem> override;
+    auto remove(const std::string &id) -> bool override;
+    auto expire(base::TimePoint now) -> std::vector<QueueItem> override;
+    auto clear() -> std::vector<QueueItem> override;
+    auto settle(const QueueItem &, const Usage &) -> void override { }
+    auto size() const -> std::size_t override { return m_waiting.size(); }
+
+private:
+    std::size_t m_bound;
+    std::list<QueueItem> m_waiting;
+};
+
+} // namespace nutmegplank::request::queue
