--- a/src/process/shards/internal/shardownership.cpp
+++ b/src/process/shards/internal/shardownership.cpp
@@ -4,15 +4,22 @@
 
 namespace nutmegplank::process::shards {
 
-auto ShardOwnership::next(const Entry &entry, bool owns, bool mayServe, base::TimePoint now) const
-    -> Entry
+auto ownedShards(const std::string &self, std::span<const std::string> shards,
+                 std::span<const std::string> liveDispatchers) -> std::vector<std::string>
+{
+    auto owned = std::vector<std::string>();
+    for (const auto &shard : shards) {
+        if (base::rendezvousOwner(shard, liveDispatchers) == self)
+            owned.push_back(shard);
+    }
+    return owned;
+}
+
+auto ShardOwnership::next(const Entry &entry, bool mayServe, base::TimePoint now) const -> Entry
 {
-    if (!owns)
-        return { ShardState::NotOwner, {} };
     if (!mayServe)
         return { ShardState::Fenced, {} };
-    const auto begins =
-        entry.state == ShardState::NotOwner || entry.state == ShardState::Fenced;
+    const auto begins = entry.state == ShardState::NotOwner || entry.state == ShardState::Fenced;
     if (begins)
         return { ShardState::Handover, now + m_handoverDelay };
     if (entry.state == ShardState::Handover && now >= entry.serveFrom)
@@ -25,19 +32,16 @@
 {
     auto entries = std::map<std::string, Entry>();
     auto changes = std::vector<ShardChange>();
-    for (const auto &shard : input.shards) {
-        const auto owns = base::rendezvousOwner(shard, input.liveDispatchers) == m_self;
+    for (const auto &shard : input.owned) {
         const auto known = m_entries.find(shard);
         const auto before = known == m_entries.end() ? Entry() : known->second;
-        const auto after = next(before, owns, input.mayServe, now);
+        const auto after = next(before, input.mayServe, now);
+        entries.emplace(shard, after);
         if (before.state != after.state)
             changes.push_back({ shard, before.state, after.state });
-        if (after.state != ShardState::NotOwner)
-            entries.emplace(shard, after);
     }
     for (const auto &[shard, entry] : m_entries) {
-        const auto &all = input.shards;
-        if (std::find(all.begin(), all.end(), shard) == all.end())
+        if (!entries.contains(shard))
             changes.push_back({ shard, entry.state, ShardState::NotOwner });
     }
     m_entries = std::move(entries);
--- a/src/process/shards/shardownership.h
+++ b/src/process/shards/shardownership.h
@@ -36,21 +36,24 @@
 //! What ownership depends on.
 struct OwnershipInput
 {
-    std::span<const std::string> shards;          //!< All shards of all services.
-    std::span<const std::string> liveDispatchers; //!< As membership sees them.
+    std::span<const std::string> owned; //!< Shards that hash to this dispatcher.
     bool mayServe = false; //!< A majority is heard and the configuration is confirmed.
 };
 
-//! The owner of a shard is the rendezvous hash over live dispatchers: soft state that needs no
-//! agreement, as FR-013 of the feature specification in the given papers proposes. Two views may
-//! differ for a moment, so a new owner starts nothing for a delay in which the old one learns that
-//! it has lost the shard or fences itself. Not safe for several threads.
+//! Those of \a shards that \a self owns while \a liveDispatchers live: the owner of a shard is its
+//! rendezvous hash over live dispatchers, soft state that needs no agreement. The idea is FR-013 of
+//! the feature specification for distributed polling in the papers given to the project.
+auto ownedShards(const std::string &self, std::span<const std::string> shards,
+                 std::span<const std::string> liveDispatchers) -> std::vector<std::string>;
+
+//! Follows the shards that this dispatcher owns. Two views of who lives may differ for a moment, so
+//! a new owner starts nothing for a delay in which the old one learns that it has lost the shard or
+//! fences itself. Not safe for several threads.
 class ShardOwnership
 {
 public:
-    ShardOwnership(std::string self, base::Duration handoverDelay)
-        : m_self(std::move(self))
-        , m_handoverDelay(handoverDelay)
+    explicit ShardOwnership(base::Duration handoverDelay)
+        : m_handoverDelay(handoverDelay)
     { }
 
     //! Follows \a input and gives what has changed.
@@ -66,9 +69,8 @@
         base::TimePoint serveFrom {};
     };
 
-    auto next(const Entry &entry, bool owns, bool mayServe, base::TimePoint now) const -> Entry;
+    auto next(const Entry &entry, bool mayServe, base::TimePoint now) const -> Entry;
 
-    std::string m_self;
     base::Duration m_handoverDelay;
     std::map<std::string, Entry> m_entries;
 };
--- a/src/request/attempt/internal/attempt.cpp
+++ b/src/request/attempt/internal/attempt.cpp
@@ -77,7 +77,7 @@
     if (late && m_hooks.now() >= m_spec.deadline)
         return failed(wire::FAILURE_DEADLINE, status);
     auto outcome = failed(late ? wire::FAILURE_SILENT : wire::FAILURE_TRUNCATED, status);
-    outcome.connectionLost = true;
+    outcome.connectionLost = m_cutCode == wire::FAILURE_NONE;
     return outcome;
 }
 
@@ -87,7 +87,7 @@
     auto connection = co_await pool.acquire(repeatable, m_hooks.now());
     if (!connection.ok()) {
         auto outcome = failed(wire::FAILURE_CONNECT, connection.status());
-        outcome.connectionLost = true;
+        outcome.connectionLost = m_cutCode == wire::FAILURE_NONE;
         co_return outcome;
     }
     m_connection = *connection;
--- a/src/request/limit/ilimit.h
+++ b/src/request/limit/ilimit.h
@@ -14,6 +14,8 @@
     std::uint32_t coldLimit = 1;
     std::uint32_t warmLimit = 8;
     base::Duration warmUp = std::chrono::seconds(5); //!< A server counts as cold for this long.
+
+    auto operator==(const LimitOptions &) const -> bool = default;
 };
 
 enum class LimitPolicy {
