--- a/src/app/dispatcher/main.cpp
+++ b/src/app/dispatcher/main.cpp
@@ -1,7 +1,7 @@
-#include "connection/http/httpserver.h"
-#include "connection/link/nnglink.h"
 #include "base/status.h"
 #include "base/text.h"
+#include "connection/http/httpserver.h"
+#include "connection/link/nnglink.h"
 #include "process/clock/clock.h"
 #include "process/dispatch/dispatcher.h"
 #include "process/inventory/vmlistinventory.h"
@@ -129,8 +129,8 @@
     auto dependencies = process::dispatch::DispatcherDependencies {
         context, process::clock::now, **link, members, *inventory, *log, registry
     };
-    auto dispatcher = std::make_shared<process::dispatch::Dispatcher>(
-        strand, settings.options, std::move(dependencies));
+    auto dispatcher = std::make_shared<process::dispatch::Dispatcher>(strand, settings.options,
+                                                                      std::move(dependencies));
     (*link)->setHandler(
         [dispatcher](wire::Envelope message) { dispatcher->handle(std::move(message)); });
     dispatcher->start();
@@ -161,8 +161,7 @@
 auto main(int argc, char **argv) -> int
 {
     using namespace nutmegplank;
-    const auto line =
-        process::runtime::parseCommandLine(argc, argv, app::PROGRAM, app::SUMMARY);
+    const auto line = process::runtime::parseCommandLine(argc, argv, app::PROGRAM, app::SUMMARY);
     const auto settings = app::readSettings(line.settingsFile);
     if (!settings.ok())
         process::runtime::exitForBadSettings(base::toStd(settings.status().message()));
--- a/src/connection/backend/internal/backendpool.cpp
+++ b/src/connection/backend/internal/backendpool.cpp
@@ -9,8 +9,7 @@
         m_idle.back().connection->close();
         m_idle.pop_back();
     }
-    const auto allowed =
-        repeatable == Repeatable::Yes ? m_options.idleTime : m_options.provenTime;
+    const auto allowed = repeatable == Repeatable::Yes ? m_options.idleTime : m_options.provenTime;
     if (!m_idle.empty() && now - m_idle.front().since <= allowed) {
         auto connection = std::move(m_idle.front().connection);
         m_idle.pop_front();
--- a/src/connection/backend/internal/cleanheaders.cpp
+++ b/src/connection/backend/internal/cleanheaders.cpp
@@ -9,9 +9,9 @@
 
 constexpr auto KEY_PARAMETER = std::string_view("api_key");
 constexpr auto REMOVED_HEADERS = std::array<std::string_view, 13> {
-    "Authorization", "Proxy-Authorization", "Cookie",  "X-Api-Key", "Host",
-    "Connection",    "Keep-Alive",          "Upgrade", "TE",        "Trailer",
-    "Transfer-Encoding", "Content-Length",  "Expect",
+    "Authorization",     "Proxy-Authorization", "Cookie",  "X-Api-Key", "Host",
+    "Connection",        "Keep-Alive",          "Upgrade", "TE",        "Trailer",
+    "Transfer-Encoding", "Content-Length",      "Expect",
 };
 
 } // namespace
--- a/src/connection/backend/internal/probe.cpp
+++ b/src/connection/backend/internal/probe.cpp
@@ -11,8 +11,7 @@
 namespace {
 
 constexpr auto SERVER_ERROR = 500U;
-constexpr auto COUNT_RANGE =
-    base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
+constexpr auto COUNT_RANGE = base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
 
 auto readStatus(const std::string &body, ProbeResult &result) -> void
 {
--- a/src/process/dispatch/internal/dispatcher.cpp
+++ b/src/process/dispatch/internal/dispatcher.cpp
@@ -18,6 +18,20 @@
 constexpr auto WEIGHTS_SCOPE = "weights/";
 constexpr auto RETRY_AFTER_MOVE_MS = 100U;
 
+//! Members that a process surely hears within the fence bound.
+constexpr auto MEMBERS_HEARD = std::size_t(8);
+
+//! Whether any other member was heard within \a bound; true when no other one is known.
+auto hearsAnyone(const membership::MemberView &view, base::TimePoint now, base::Duration bound)
+    -> bool
+{
+    const auto &members = view.members;
+    return members.size() <= 1
+        || std::any_of(members.begin(), members.end(), [&](const auto &member) {
+               return member.lastHeard != base::TimePoint() && now - member.lastHeard <= bound;
+           });
+}
+
 auto memberOf(const std::string &holder) -> std::string
 {
     return holder.substr(0, holder.rfind('#'));
@@ -63,7 +77,12 @@
 {
     const auto &membership = m_dependencies.membership;
     const auto &log = m_dependencies.log;
-    if (!membership.hearsMajority(now, m_options.fenceBound))
+    const auto view = membership.view();
+    if (!hearsAnyone(*view, now, m_options.fenceBound))
+        return false;
+    // A process hears a few members a second, however many there are.
+    const auto periods = 1 + view->members.size() / MEMBERS_HEARD;
+    if (!membership.hearsMajority(now, m_options.fenceBound * periods))
         return false;
     if (now - log.lastConfirmed() <= m_options.confirmBound)
         return true;
@@ -89,8 +108,7 @@
     const auto changes = m_ownership.update(input, present);
     for (const auto &change : changes) {
         const auto name = base::nameOf(shards::SHARD_STATE_NAMES, change.after);
-        logging::info("shard.state",
-                      { { "shard", change.shard }, { "state", std::string(name) } });
+        logging::info("shard.state", { { "shard", change.shard }, { "state", std::string(name) } });
     }
     const auto same = changes.empty() && world.configuration == m_world.configuration
         && world.servers == m_world.servers;
--- a/src/process/dispatch/internal/dispatchpolicy.cpp
+++ b/src/process/dispatch/internal/dispatchpolicy.cpp
@@ -29,12 +29,11 @@
     auto policy = DispatchPolicy();
     policy.queue = choice(object, "queue", request::queue::QUEUE_POLICY_NAMES, policy.queue);
     policy.limit = choice(object, "limit", request::limit::LIMIT_POLICY_NAMES, policy.limit);
-    policy.placement = choice(object, "placement", request::placement::PLACEMENT_POLICY_NAMES,
-                              policy.placement);
+    policy.placement =
+        choice(object, "placement", request::placement::PLACEMENT_POLICY_NAMES, policy.placement);
     policy.earlyRefusal.enabled = object.boolean("early_refusal", policy.earlyRefusal.enabled);
-    policy.queueBound = static_cast<std::size_t>(
-        object.integer("queue_bound", QUEUE_BOUND_RANGE,
-                       static_cast<std::int64_t>(policy.queueBound)));
+    policy.queueBound = static_cast<std::size_t>(object.integer(
+        "queue_bound", QUEUE_BOUND_RANGE, static_cast<std::int64_t>(policy.queueBound)));
     policy.probePeriod = object.duration("probe_period", TIME_RANGE, policy.probePeriod);
     policy.probeTimeout = object.duration("probe_timeout", TIME_RANGE, policy.probeTimeout);
     policy.progressTime = object.duration("progress_time", TIME_RANGE, policy.progressTime);
--- a/src/process/dispatch/internal/serverentry.cpp
+++ b/src/process/dispatch/internal/serverentry.cpp
@@ -85,8 +85,7 @@
     m_lastPeak = m_peakRunning;
     m_peakRunning = m_running;
     m_foreign = result.running > own ? result.running - own : 0;
-    const auto provenWarm =
-        !m_contacted && !result.cold && result.running > m_options.coldLimit;
+    const auto provenWarm = !m_contacted && !result.cold && result.running > m_options.coldLimit;
     if (provenWarm)
         m_limit->becomeWarm(result.running, now);
 }
--- a/src/process/dispatch/internal/serverentry.h
+++ b/src/process/dispatch/internal/serverentry.h
@@ -70,7 +70,7 @@
     std::unique_ptr<request::limit::ILimit> m_limit;
     request::limit::LimitOptions m_options;
     connection::backend::BackendPool m_pool;
-    base::TimePoint m_since;         //!< When this dispatcher began to look after it.
+    base::TimePoint m_since; //!< When this dispatcher began to look after it.
     base::TimePoint m_heldUntil {};
     base::TimePoint m_lostAt {};
     std::string m_bootId;
@@ -78,7 +78,7 @@
     std::uint32_t m_running = 0;
     std::uint32_t m_peakRunning = 0; //!< Since the last but one probe.
     std::uint32_t m_lastPeak = 0;
-    std::uint32_t m_foreign = 0;     //!< Requests of other processes, as far as it reports load.
+    std::uint32_t m_foreign = 0; //!< Requests of other processes, as far as it reports load.
     std::uint32_t m_lostBeside = 0;
     std::uint32_t m_suspicions = 0;
     std::uint32_t m_failures = 0; //!< Probes in a row without an answer.
--- a/src/process/dispatch/internal/shardattempts.cpp
+++ b/src/process/dispatch/internal/shardattempts.cpp
@@ -77,14 +77,15 @@
     };
     hooks.onLatency = [this, server](base::Duration latency) {
         if (server->limit().onLatency(latency, server->running(), now()))
-            logging::info("server.cold", { { "server", server->server().id },
-                                           { "latency_ms", base::toMilliseconds(latency) } });
+            logging::info("server.cold",
+                          { { "server", server->server().id },
+                            { "latency_ms", base::toMilliseconds(latency) } });
     };
     hooks.onWeightVersion = [server](std::uint64_t version) { server->onWeightVersion(version); };
     // Weak, for the running attempt owns these hooks.
-    hooks.onPart = [this, weak = std::weak_ptr<Running>(running), attemptId](
-                       std::uint32_t sequence, const connection::http::Response &head,
-                       std::string data) -> asio::awaitable<absl::Status> {
+    hooks.onPart = [this, weak = std::weak_ptr<Running>(running),
+                    attemptId](std::uint32_t sequence, const connection::http::Response &head,
+                               std::string data) -> asio::awaitable<absl::Status> {
         return sendPart(weak.lock(), chunkMessage(attemptId, sequence, head, std::move(data)));
     };
     return hooks;
@@ -158,11 +159,12 @@
     const auto &bootBefore = running->bootId;
     const auto restarted = server->bootId() != bootBefore && !bootBefore.empty();
     const auto died = result.verdict == ProbeVerdict::Dead || restarted;
-    logging::info("server.probed",
-                  { { "server", server->server().id },
-                    { "verdict", std::string(base::nameOf(connection::backend::PROBE_VERDICT_NAMES,
-                                                          result.verdict)) },
-                    { "restarted", restarted } });
+    logging::info(
+        "server.probed",
+        { { "server", server->server().id },
+          { "verdict",
+            std::string(base::nameOf(connection::backend::PROBE_VERDICT_NAMES, result.verdict)) },
+          { "restarted", restarted } });
     if (result.verdict == ProbeVerdict::Dead && wasAlive)
         cutAllOn(*server, wire::FAILURE_SERVER_DIED, "the backend server died");
     // Without a started request the attempt is no witness of what killed the server.
@@ -172,11 +174,11 @@
     co_return ServerFault { true, beside };
 }
 
-auto ShardWorker::cutRunning(const RunningPtr &running, wire::FailureCode code,
-                             std::string message) -> void
+auto ShardWorker::cutRunning(const RunningPtr &running, wire::FailureCode code, std::string message)
+    -> void
 {
-    const auto mustTellEngine = isEngine() && running->attempt->started()
-        && code != wire::FAILURE_SERVER_DIED;
+    const auto mustTellEngine =
+        isEngine() && running->attempt->started() && code != wire::FAILURE_SERVER_DIED;
     const auto address = running->server->server().address;
     const auto attemptId = running->pending.submit.attempt_id();
     running->attempt->cut(code, std::move(message));
@@ -227,9 +229,9 @@
         [self, running, message]() -> asio::awaitable<void> {
             const auto sent = co_await self->sendPart(running, message);
             if (!sent.ok())
-                logging::warning("attempt.answer_lost",
-                                 { { "error", std::string(sent.message().data(),
-                                                          sent.message().size()) } });
+                logging::warning(
+                    "attempt.answer_lost",
+                    { { "error", std::string(sent.message().data(), sent.message().size()) } });
         },
         asio::detached);
     pump();
--- a/src/process/dispatch/internal/shardservers.cpp
+++ b/src/process/dispatch/internal/shardservers.cpp
@@ -18,8 +18,7 @@
 using connection::backend::ProbeKind;
 
 constexpr auto EVENT_TIME = std::chrono::seconds(1);
-constexpr auto NUMBER_RANGE =
-    base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
+constexpr auto NUMBER_RANGE = base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
 
 auto limitOptionsOf(const version::configuration::Service *service) -> request::limit::LimitOptions
 {
@@ -36,8 +35,8 @@
     for (auto &server : servers) {
         listed.insert(server.id);
         const auto known = m_servers.find(server.id);
-        const auto moved = known != m_servers.end()
-            && known->second->server().address != server.address;
+        const auto moved =
+            known != m_servers.end() && known->second->server().address != server.address;
         if (known == m_servers.end() || moved) {
             addServer(std::move(server));
             continue;
@@ -48,8 +47,8 @@
     }
     for (auto &[id, server] : m_servers) {
         server->setGone(!listed.contains(id));
-        const auto out = m_configuration != nullptr
-            && m_configuration->isZoneOut(server->server().zone);
+        const auto out =
+            m_configuration != nullptr && m_configuration->isZoneOut(server->server().zone);
         server->setZoneOut(out);
     }
     removeGoneServers();
--- a/src/process/dispatch/internal/shardworker.cpp
+++ b/src/process/dispatch/internal/shardworker.cpp
@@ -177,9 +177,9 @@
 auto ShardWorker::expireQueued() -> void
 {
     for (const auto &item : m_queue->expire(now()))
-        rejectQueued(item,
-                     { wire::FAILURE_DEADLINE, "the deadline came before its turn",
-                       "dispatch.queue", 0 });
+        rejectQueued(
+            item,
+            { wire::FAILURE_DEADLINE, "the deadline came before its turn", "dispatch.queue", 0 });
 }
 
 auto ShardWorker::cutLate() -> void
@@ -247,10 +247,9 @@
         if (server->inService() && server->alive())
             capacity += server->allowance(now());
     }
-    const auto rollouts =
-        std::count_if(m_running.begin(), m_running.end(), [](const auto &entry) {
-            return entry.second->pending.item.priority == wire::PRIORITY_ROLLOUT;
-        });
+    const auto rollouts = std::count_if(m_running.begin(), m_running.end(), [](const auto &entry) {
+        return entry.second->pending.item.priority == wire::PRIORITY_ROLLOUT;
+    });
     const auto most = (capacity * preset->rolloutShare + WHOLE_SHARE - 1) / WHOLE_SHARE;
     return static_cast<std::uint32_t>(rollouts) < most;
 }
@@ -280,8 +279,8 @@
         if (item.priority == wire::PRIORITY_ROLLOUT && !rolloutsMayRun)
             return false;
         const auto &submit = m_pending.at(item.id).submit;
-        const auto avoided = std::vector<std::string>(submit.avoid_servers().begin(),
-                                                      submit.avoid_servers().end());
+        const auto avoided =
+            std::vector<std::string>(submit.avoid_servers().begin(), submit.avoid_servers().end());
         auto request = request::placement::PlacementRequest();
         request.idempotent = submit.idempotent();
         request.isolate = submit.isolate();
--- a/src/process/dispatch/shardworker.h
+++ b/src/process/dispatch/shardworker.h
@@ -89,7 +89,8 @@
     auto now() const -> base::TimePoint { return m_dependencies.now(); }
     auto service() const -> const version::configuration::Service *;
     auto isEngine() const -> bool;
-    auto checkSubmit(const wire::Submit &submit, const request::queue::QueueItem &item) const -> std::optional<Rejection>;
+    auto checkSubmit(const wire::Submit &submit, const request::queue::QueueItem &item) const
+        -> std::optional<Rejection>;
     auto itemOf(const wire::Submit &submit) const -> request::queue::QueueItem;
     auto reject(const wire::Submit &submit, const std::string &replyLink,
                 const Rejection &rejection) -> void;
@@ -115,8 +116,7 @@
         -> boost::asio::awaitable<absl::Status>;
     auto finish(const RunningPtr &running, request::attempt::AttemptOutcome outcome,
                 const ServerFault &fault) -> void;
-    auto cutRunning(const RunningPtr &running, wire::FailureCode code, std::string message)
-        -> void;
+    auto cutRunning(const RunningPtr &running, wire::FailureCode code, std::string message) -> void;
     auto cutAllOn(const ServerEntry &server, wire::FailureCode code, const std::string &message)
         -> void;
     auto watchServer(EntryPtr server) -> boost::asio::awaitable<void>;
@@ -140,7 +140,7 @@
     std::unique_ptr<request::placement::IPlacement> m_placement;
     std::unordered_map<std::string, Pending> m_pending;
     std::unordered_map<std::string, RunningPtr> m_running;
-    std::map<std::string, EntryPtr> m_servers; //!< By id.
+    std::map<std::string, EntryPtr> m_servers;           //!< By id.
     std::map<std::string, std::uint64_t> m_cacheCursors; //!< Next cache event, by server.
     base::TimePoint m_lastAlive {}; //!< When a server was last seen to be in service.
     bool m_stopped = false;
--- a/src/process/shards/shardownership.h
+++ b/src/process/shards/shardownership.h
@@ -37,7 +37,7 @@
 struct OwnershipInput
 {
     std::span<const std::string> owned; //!< Shards that hash to this dispatcher.
-    bool mayServe = false; //!< A majority is heard and the configuration is confirmed.
+    bool mayServe = false;              //!< A majority is heard and the configuration is confirmed.
 };
 
 //! Those of \a shards that \a self owns while \a liveDispatchers live: the owner of a shard is its
--- a/src/request/attempt/attempt.h
+++ b/src/request/attempt/attempt.h
@@ -86,10 +86,9 @@
     auto exchange(connection::http::IHttpConnection &connection)
         -> boost::asio::awaitable<AttemptOutcome>;
     auto refusedByServer(connection::http::IHttpConnection &connection,
-                         connection::http::Response head)
+                         connection::http::Response head) -> boost::asio::awaitable<AttemptOutcome>;
+    auto readAnswer(connection::http::IHttpConnection &connection, connection::http::Response head)
         -> boost::asio::awaitable<AttemptOutcome>;
-    auto readAnswer(connection::http::IHttpConnection &connection,
-                    connection::http::Response head) -> boost::asio::awaitable<AttemptOutcome>;
 
     AttemptSpec m_spec;
     AttemptHooks m_hooks;
--- a/src/request/attempt/attemptindex.h
+++ b/src/request/attempt/attemptindex.h
@@ -13,7 +13,7 @@
 //! Where a cancellation has to go.
 struct CancelTarget
 {
-    std::string shard;                //!< Of a live attempt; empty when there is none.
+    std::string shard;                 //!< Of a live attempt; empty when there is none.
     wire::Ran ran = wire::RAN_UNKNOWN; //!< When the attempt is not live.
 };
 
--- a/src/request/attempt/internal/attempt.cpp
+++ b/src/request/attempt/internal/attempt.cpp
@@ -179,8 +179,7 @@
             }
             continue;
         }
-        const auto passed =
-            co_await m_hooks.onPart(outcome.partCount, head, std::move(**part));
+        const auto passed = co_await m_hooks.onPart(outcome.partCount, head, std::move(**part));
         if (!passed.ok()) {
             connection.close();
             co_return failed(wire::FAILURE_CANCELLED, passed);
--- a/src/request/attempt/internal/enginestream.cpp
+++ b/src/request/attempt/internal/enginestream.cpp
@@ -54,8 +54,7 @@
         begin = end + 1;
     }
     m_rest.erase(0, begin);
-    return m_rest.size() > LONGEST_LINE ? contradiction("an event is too long")
-                                        : absl::OkStatus();
+    return m_rest.size() > LONGEST_LINE ? contradiction("an event is too long") : absl::OkStatus();
 }
 
 auto EngineStream::readLine(std::string_view line) -> absl::Status
--- a/src/request/limit/internal/adaptivelimit.cpp
+++ b/src/request/limit/internal/adaptivelimit.cpp
@@ -4,10 +4,10 @@
 
 namespace {
 
-constexpr auto FAST_SHARE = 0.3;  //!< Weight of a new latency in the fast average.
-constexpr auto SLOW_SHARE = 0.03; //!< The same in the slow one.
+constexpr auto FAST_SHARE = 0.3;   //!< Weight of a new latency in the fast average.
+constexpr auto SLOW_SHARE = 0.03;  //!< The same in the slow one.
 constexpr auto BEST_DRIFT = 0.001; //!< Part of the gap by which the best latency forgets.
-constexpr auto TOLERANCE = 2.0;   //!< Latency over the best one that does not shrink the limit.
+constexpr auto TOLERANCE = 2.0;    //!< Latency over the best one that does not shrink the limit.
 constexpr auto LOWEST_GRADIENT = 0.5;
 constexpr auto LIMIT_SHARE = 0.1; //!< Weight of a new target in the limit.
 constexpr auto STEP_FACTOR = 3.0; //!< Latency over the usual one that speaks for a cold start.
--- a/src/request/limit/internal/adaptivelimit.h
+++ b/src/request/limit/internal/adaptivelimit.h
@@ -26,11 +26,11 @@
     auto follow(double latency, std::uint32_t running, base::TimePoint now) -> void;
 
     WarmUp m_warmUp;
-    double m_limit;         //!< By latency alone, once the server is warm.
+    double m_limit;          //!< By latency alone, once the server is warm.
     bool m_measured = false; //!< Whether latency has ever lowered the limit since the last start.
-    double m_best = 0;      //!< Lowest latency, in seconds; drifts up slowly.
-    double m_usual = 0;     //!< Slow average.
-    double m_recent = 0;    //!< Fast average.
+    double m_best = 0;       //!< Lowest latency, in seconds; drifts up slowly.
+    double m_usual = 0;      //!< Slow average.
+    double m_recent = 0;     //!< Fast average.
     std::uint32_t m_samples = 0;
     std::uint32_t m_highInRow = 0; //!< Latencies in a row that look like a cold start.
 };
--- a/src/request/placement/iplacement.h
+++ b/src/request/placement/iplacement.h
@@ -65,6 +65,7 @@
         -> std::optional<std::size_t> = 0;
 };
 
-auto makePlacement(PlacementPolicy policy, PrefixChance prefixChance) -> std::unique_ptr<IPlacement>;
+auto makePlacement(PlacementPolicy policy, PrefixChance prefixChance)
+    -> std::unique_ptr<IPlacement>;
 
 } // namespace nutmegplank::request::placement
