--- a/tests/integration/test_keys.py
+++ b/tests/integration/test_keys.py
@@ -16,7 +16,7 @@
         if method == "test_cut_off_gateway_stops_keyed_work":
             return {"proxied": ("log:gateway-0",)}
         if method == "test_withdrawn_key_cuts_running_stream":
-            return {"engine_settings": {"step_ms": 20}}
+            return {"engine_settings": {"step_us": 20_000}}
         return {}
 
     def refused(self, vm, status=401):
--- a/tests/integration/test_servers.py
+++ b/tests/integration/test_servers.py
@@ -28,8 +28,8 @@
             for number in range(self.cluster.counts[self.deployment.engine.name]):
                 self.cluster.control(f"{self.deployment.engine.name}-{number}", {"cold": True})
         for stats in self.engine_stats():
-            self.assertLessEqual(stats["max_cold_running"], limit)
-            self.assertEqual(stats["crashes"], 0)
+            self.assertLessEqual(stats["max_running_cold"], limit)
+            self.assertEqual(stats["restarts"], 0)
 
     def test_zone_out_gets_no_new_work_and_comes_back(self):
         zone = self.deployment.zones[0]
@@ -52,23 +52,23 @@
     def requests_in(self, zone):
         """Requests that engines of a zone have seen."""
         number = self.deployment.zones.index(zone)
-        return sum(stats["requests"] for index, stats in enumerate(self.engine_stats())
+        return sum(len(stats["requests"]) for index, stats in enumerate(self.engine_stats())
                    if index % len(self.deployment.zones) == number)
 
     def test_leaving_server_gets_no_new_work(self):
         server = f"{self.deployment.engine.name}-1"
         self.cluster.control("cloud", {"leave": [server]})
         time.sleep(LEAVING_BOUND)
-        before = self.cluster.stats(server)["requests"]
+        before = len(self.cluster.stats(server)["requests"])
         self.burst(30, lambda index: self.complete(f"leaving-{index}", vm=index % 3))
-        self.assertEqual(self.cluster.stats(server)["requests"], before)
+        self.assertEqual(len(self.cluster.stats(server)["requests"]), before)
 
     def test_request_that_crashes_servers_is_stopped(self):
         answers = []
         for attempt in range(12):
             answers.append(self.complete(CRASH_PROMPT, vm=attempt % 3, timeout=30))
             time.sleep(0.3)
-        self.assertLessEqual(sum(stats["crashes"] for stats in self.engine_stats()), 2)
+        self.assertLessEqual(sum(stats["restarts"] for stats in self.engine_stats()), 2)
         self.assertTrue(all(answer.status != 200 for answer in answers))
         self.assertEqual(answers[-1].json()["error"]["code"], "quarantined", answers[-1].text)
         self.assertEqual(self.complete("innocent").status, 200)
