--- /dev/null
+++ b/src/request/step/internal/stepservice.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <tuple>
+
+#include "request/step/internal/stepsession.h"
+
+namespace nutmegplank::request::step {
+
+//! Names a step; trainers of different workspaces don't see each other's.
+struct StepName
+{
+    std::string workspace;
+    std::string step;
+
+    auto operator<(const StepName &other) const -> bool
+    {
+        return std::tie(workspace, step) < std::tie(other.workspace, other.step);
+    }
+};
+
+//! Finds the session of each call.
+class StepService : public IStepService
+{
+public:
+    StepService(boost::asio::io_context &context, execution::IRequestRunner &runner,
+                version::state::IPlatformLog &log, process::metrics::Registry &metrics,
+                StepPolicy policy);
+    ~StepService() override;
+
+    auto handle(connection::http::Request request, StepCaller caller,
+                connection::http::IHttpResponder &responder)
+        -> boost::asio::awaitable<void> override;
+    auto cutKey(const std::string &keyId) -> void override;
+    auto drain() -> void override;
+    auto openSteps() const -> std::size_t override;
+
+private:
+    using Response = connection::http::Response;
+    using SessionPtr = std::shared_ptr<StepSession>;
+
+    auto answer(connection::http::Request request, StepCaller caller)
+        -> boost::asio::awaitable<Response>;
+    auto open(std::string body, StepCaller caller) -> boost::asio::awaitable<Response>;
+    auto pull(std::string step, std::string body, StepCaller caller)
+        -> boost::asio::awaitable<Response>;
+    auto closeStep(std::string step, std::string epoch, StepCaller caller)
+        -> boost::asio::awaitable<Response>;
+    auto publish(std::string body) -> boost::asio::awaitable<Response>;
+    auto checkOpen(const StepSpec &spec) const -> std::optional<execution::Refusal>;
+    auto find(const StepName &name) -> SessionPtr;
+    auto forgetClosed() -> void;
+    auto sessions() const -> std::vector<SessionPtr>;
+
+    StepMetrics m_metrics;
+    SessionResources m_resources;
+    mutable std::mutex m_mutex;
+    std::map<StepName, SessionPtr> m_sessions;
+    bool m_draining = false;
+};
+
+} // namespace nutmegplank::request::step
--- a/src/request/step/istepservice.h
+++ b/src/request/step/istepservice.h
@@ -21,6 +21,21 @@
     std::string keyId;
 };
 
+//! How steps are filled. The plain baseline has neither hedging nor an order by length.
+struct StepPolicy
+{
+    bool hedging = true;             //!< A second run beside one of the last that takes long.
+    bool longestFirst = true;        //!< Otherwise in the order of the trainer's list.
+    std::uint32_t concurrency = 256; //!< Generations of a step that run together at most.
+    std::uint32_t hedgePercent = 5;  //!< Second runs, in percent of a step's slots.
+    double hedgeFactor = 2.0; //!< Times the usual time a generation takes before its second run.
+    std::uint64_t bufferBytes =
+        8ULL * 1024 * 1024; //!< Finished samples that wait, and room for running ones.
+    std::uint64_t pullBytes = 2ULL * 1024 * 1024; //!< Text that one pull hands out, about.
+    base::Duration generationTime = std::chrono::minutes(5); //!< Deadline of one generation.
+    base::Duration abandonTime = std::chrono::seconds(60); //!< A step that nobody pulls is closed.
+};
+
 class IStepService
 {
 public:
@@ -42,7 +57,7 @@
 
 //! All references must outlive the service.
 auto makeStepService(boost::asio::io_context &context, execution::IRequestRunner &runner,
-                     version::state::IPlatformLog &log, process::metrics::Registry &metrics)
-    -> std::unique_ptr<IStepService>;
+                     version::state::IPlatformLog &log, process::metrics::Registry &metrics,
+                     StepPolicy policy = {}) -> std::unique_ptr<IStepService>;
 
 } // namespace nutmegplank::request::step
