--- a/src/request/step/tests/stepmachine_tests.cpp
+++ b/src/request/step/tests/stepmachine_tests.cpp
@@ -50,7 +50,7 @@
         ReopenSame,
         ReopenOther,
         StalePull, //!< A delayed pull of an old epoch at the other owner.
-        KIND_COUNT,
+        KindCount,
     };
     std::uint32_t kind = 0;
     std::uint32_t pick = 0;
@@ -244,7 +244,7 @@
 
 auto genAction() -> rc::Gen<Action>
 {
-    return rc::gen::map(rc::gen::pair(rc::gen::inRange<std::uint32_t>(0, Action::KIND_COUNT),
+    return rc::gen::map(rc::gen::pair(rc::gen::inRange<std::uint32_t>(0, Action::KindCount),
                                       rc::gen::inRange<std::uint32_t>(0, 1000)),
                         [](const std::pair<std::uint32_t, std::uint32_t> &pair) {
                             return Action { pair.first, pair.second };
