--- a/cmake/nutmegplank.cmake
+++ b/cmake/nutmegplank.cmake
@@ -37,3 +37,13 @@
     target_link_libraries(${name} PRIVATE nutmegplank_pch ${ARG_DEPENDS} rapidcheck GTest::gtest GTest::gtest_main)
     gtest_discover_tests(${name} DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 120)
 endfunction()
+
+# nutmegplank_add_folders(): every folder below with a CMakeLists.txt is a part of its own.
+function(nutmegplank_add_folders)
+    file(GLOB folders LIST_DIRECTORIES true CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*)
+    foreach(folder ${folders})
+        if(EXISTS ${folder}/CMakeLists.txt)
+            add_subdirectory(${folder})
+        endif()
+    endforeach()
+endfunction()
