--- a/src/app/ctl/options.cpp
+++ b/src/app/ctl/options.cpp
@@ -66,7 +66,7 @@
 
 auto commandTable() -> const std::vector<CommandWords> &
 {
-    static const auto s_table = std::vector<CommandWords> {
+    static const auto table = std::vector<CommandWords> {
         { "validate", "", Command::Validate },
         { "plan", "", Command::Plan },
         { "apply", "", Command::Apply },
@@ -79,7 +79,7 @@
         { "audit", "", Command::Audit },
         { "export", "", Command::Export },
     };
-    return s_table;
+    return table;
 }
 
 auto commandOf(const Arguments &arguments) -> Command
@@ -173,8 +173,8 @@
 
 auto usageText() -> const std::string &
 {
-    static const auto s_usage = std::string(USAGE);
-    return s_usage;
+    static const auto usage = std::string(USAGE);
+    return usage;
 }
 
 auto parseOptions(const std::vector<std::string> &arguments) -> absl::StatusOr<Options>
--- a/src/version/state/tests/recordsource.h
+++ b/src/version/state/tests/recordsource.h
@@ -43,9 +43,9 @@
 
     auto makeBody() -> boost::json::object
     {
-        static const auto s_scopes = std::array { "plan", "usage", "orders/z" };
+        static const auto scopes = std::array { "plan", "usage", "orders/z" };
         const auto state = m_truth.publish();
-        const auto scope = std::string(s_scopes[static_cast<std::size_t>(any(3))]);
+        const auto scope = std::string(scopes[static_cast<std::size_t>(any(3))]);
         const auto leaseOf = [&state](const std::string &name) {
             const auto found = state->leases.find(name);
             return found == state->leases.end() ? LeaseState() : found->second;
