--- a/src/app/ctl/commands.h
+++ b/src/app/ctl/commands.h
@@ -4,6 +4,9 @@
 
 namespace nutmegplank::app::ctl {
 
+//! Runs what the options ask for.
+auto runCommand(Context &context) -> ExitCode;
+
 // Changes
 auto runValidate(const Options &options) -> ExitCode;
 auto runPlan(Context &context) -> ExitCode;
