--- a/src/version/state/internal/platformlog.cpp
+++ b/src/version/state/internal/platformlog.cpp
@@ -63,6 +63,7 @@
 PlatformLog::PlatformLog(asio::io_context &context, PlatformLogOptions options)
     : m_strand(asio::make_strand(context))
     , m_options(std::move(options))
+    , m_pace(m_strand)
     , m_reader(m_options.endpoint)
     , m_appender(m_options.endpoint)
     , m_state(m_follower.replay().publish())
@@ -91,27 +92,31 @@
 auto PlatformLog::follow() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    auto timer = asio::steady_timer(m_strand);
-    auto failed = false;
+    auto reachable = true;
     while (!m_stopped) {
-        const auto status = co_await readOnce();
-        if (status.ok() != failed)
-            ;
-        else if (status.ok())
+        const auto read = co_await readOnce();
+        if (reachable && !read.ok())
+            process::logging::warning(
+                "log.unreachable",
+                { { "problem", boost::json::value(base::describe(read.status())) } });
+        if (!reachable && read.ok())
             process::logging::info("log.reachable",
                                    { { "peer", boost::json::value(m_options.endpoint) } });
-        else
-            process::logging::warning(
-                "log.unreachable", { { "problem", boost::json::value(base::describe(status)) } });
-        failed = !status.ok();
-        if (!failed)
-            continue;
-        timer.expires_after(READ_BACKOFF);
-        co_await timer.async_wait(USE_TUPLE);
+        reachable = read.ok();
+        if (!reachable)
+            co_await pause(READ_BACKOFF);
+        else if (*read && m_waiters.empty())
+            co_await pause(m_options.readPace);
     }
 }
 
-auto PlatformLog::readOnce() -> asio::awaitable<absl::Status>
+auto PlatformLog::pause(base::Duration time) -> asio::awaitable<void>
+{
+    m_pace.expires_after(time);
+    co_await m_pace.async_wait(USE_TUPLE);
+}
+
+auto PlatformLog::readOnce() -> asio::awaitable<absl::StatusOr<bool>>
 {
     // Taken before the request: what the answer says was true at this time or later, however long
     // the answer or this process was held up.
@@ -126,10 +131,12 @@
             co_return base::makeError(absl::StatusCode::kUnavailable, "expired, but still kept",
                                       { "log.read", m_options.endpoint });
         m_follower.expire(read->first);
-        co_return absl::OkStatus();
+        co_return false;
     }
+    // A full read has more behind it, which must not wait.
+    const auto paced = !read->records.empty() && read->records.size() < READ_RECORDS;
     takeRead(*std::move(read), sent);
-    co_return absl::OkStatus();
+    co_return paced;
 }
 
 auto PlatformLog::takeRead(LogRead read, base::TimePoint sent) -> void
@@ -189,6 +196,7 @@
     const auto deadline = process::clock::now() + timeout;
     auto waiter = std::make_shared<Waiter>(m_strand);
     m_waiters.emplace(recordId, waiter);
+    m_pace.cancel();
     const auto status = co_await repeatUntilRead(waiter, recordId, std::move(body), deadline);
     forget(recordId, waiter);
     if (waiter->result)
--- a/src/version/state/internal/platformlog.h
+++ b/src/version/state/internal/platformlog.h
@@ -46,10 +46,13 @@
     using WaiterPtr = std::shared_ptr<Waiter>;
 
     auto follow() -> boost::asio::awaitable<void>;
-    auto readOnce() -> boost::asio::awaitable<absl::Status>;
+    //! Gives whether records came and no more are known to stand behind them.
+    auto readOnce() -> boost::asio::awaitable<absl::StatusOr<bool>>;
     auto takeRead(LogRead read, base::TimePoint sent) -> void;
     auto settle(const FollowedRecord &record) -> void;
     auto publish() -> void;
+    //! Waits between two reads; an append cuts the wait short.
+    auto pause(base::Duration time) -> boost::asio::awaitable<void>;
     auto appendOnStrand(std::string recordId, boost::json::object body, base::Duration timeout)
         -> boost::asio::awaitable<absl::StatusOr<std::uint64_t>>;
     auto repeatUntilRead(WaiterPtr waiter, std::string recordId, boost::json::object body,
@@ -58,6 +61,7 @@
 
     Strand m_strand;
     PlatformLogOptions m_options;
+    boost::asio::steady_timer m_pace; //!< Runs between two reads.
     LogClient m_reader;
     LogClient m_appender;
     Follower m_follower;
--- a/src/version/state/platformlog.h
+++ b/src/version/state/platformlog.h
@@ -15,6 +15,9 @@
     std::string member;   //!< Id of this process, put into each record.
     //! Longest wait of one read; lastConfirmed() is about as fresh as that.
     base::Duration pollTime = std::chrono::milliseconds(500);
+    //! Least time between two reads that give records, unless an append of this process waits to be
+    //! read back: many records then share the bytes of one exchange.
+    base::Duration readPace = std::chrono::milliseconds(200);
 };
 
 //! Follows the log from its first kept record or newest snapshot on.
--- a/src/version/state/snapshotwriter.h
+++ b/src/version/state/snapshotwriter.h
@@ -13,8 +13,10 @@
 
 struct SnapshotWriterOptions
 {
-    std::uint64_t everyRecords = 2000;              //!< Well below what the log keeps.
-    base::Duration every = std::chrono::minutes(1); //!< When fewer records come.
+    //! Well below what the log keeps. Every process reads every chunk, so that a snapshot costs its
+    //! size at each of them.
+    std::uint64_t everyRecords = 10'000;
+    base::Duration every = std::chrono::minutes(10); //!< When fewer records come.
     base::Duration checkEvery = std::chrono::milliseconds(500);
 };
 
