--- /dev/null
+++ b/src/version/command/internal/fencedcaller.cpp
@@ -0,0 +1,107 @@
+#include "version/command/fencedcaller.h"
+
+#include <algorithm>
+
+#include "base/status.h"
+#include "connection/http/httpclient.h"
+#include "process/clock/clock.h"
+
+namespace nutmegplank::version::command {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = connection::http;
+
+constexpr auto SHORTEST_USER_TIMEOUT = base::Duration(std::chrono::milliseconds(100));
+constexpr auto LONGEST_USER_TIMEOUT = base::Duration(std::chrono::seconds(2));
+constexpr auto SHORTEST_CALL = base::Duration(std::chrono::seconds(1));
+
+auto notInCharge(const std::string &peer) -> absl::Status
+{
+    return base::makeError(absl::StatusCode::kFailedPrecondition, "not in charge, nothing was sent",
+                           { "command.call", peer });
+}
+
+auto readWhole(http::IHttpConnection &connection, base::Duration timeout)
+    -> asio::awaitable<absl::StatusOr<http::Response>>
+{
+    auto response = co_await connection.readHead(timeout);
+    while (response.ok()) {
+        auto part = co_await connection.readBody(timeout);
+        if (!part.ok())
+            co_return part.status();
+        if (!part->has_value())
+            break;
+        response->body += **part;
+    }
+    co_return response;
+}
+
+} // namespace
+
+auto deriveFencedTimes(base::Duration term) -> FencedTimes
+{
+    const auto userTimeout =
+        std::clamp(base::Duration(term / 2), SHORTEST_USER_TIMEOUT, LONGEST_USER_TIMEOUT);
+    auto times = FencedTimes();
+    times.userTimeout = userTimeout;
+    times.callTimeout = std::max(SHORTEST_CALL, base::Duration(2 * userTimeout));
+    times.waitChecked = userTimeout + userTimeout / 4;
+    times.waitUnchecked = 2 * times.waitChecked;
+    return times;
+}
+
+FencedCaller::FencedCaller(const lease::ILease &lease, FencedTimes times)
+    : m_lease(lease)
+    , m_times(times)
+{ }
+
+auto FencedCaller::observe(base::TimePoint now) -> std::optional<std::uint64_t>
+{
+    const auto number = m_lease.fencingNumber(now);
+    const auto lock = std::lock_guard(m_mutex);
+    if (number != m_number)
+        m_since = now;
+    m_number = number;
+    return number;
+}
+
+auto FencedCaller::mayCall(base::TimePoint now, bool checksFencing) -> bool
+{
+    if (!observe(now))
+        return false;
+    const auto lock = std::lock_guard(m_mutex);
+    return now - m_since >= (checksFencing ? m_times.waitChecked : m_times.waitUnchecked);
+}
+
+auto FencedCaller::call(FencedPeer peer, FencedRequest build)
+    -> asio::awaitable<absl::StatusOr<http::Response>>
+{
+    if (!mayCall(process::clock::now(), peer.checksFencing))
+        co_return notInCharge(peer.endpoint);
+    auto options = http::ConnectOptions();
+    options.timeout = m_times.callTimeout;
+    options.userTimeout = m_times.userTimeout;
+    auto connection = co_await http::connect(peer.endpoint, options);
+    if (!connection.ok())
+        co_return connection.status();
+    const auto number = m_lease.fencingNumber(process::clock::now());
+    if (!number)
+        co_return notInCharge(peer.endpoint);
+    const auto request = build(*number);
+    auto inCharge = true;
+    const auto checkLease = [&] {
+        inCharge = m_lease.fencingNumber(process::clock::now()) == number;
+        if (!inCharge)
+            (*connection)->close();
+    };
+    const auto sent = co_await (*connection)->send(request, m_times.callTimeout, checkLease);
+    if (!inCharge)
+        co_return notInCharge(peer.endpoint);
+    if (!sent.ok())
+        co_return sent;
+    co_return co_await readWhole(**connection, m_times.callTimeout);
+}
+
+} // namespace nutmegplank::version::command
--- /dev/null
+++ b/src/version/weights/internal/enginestatus.cpp
@@ -0,0 +1,108 @@
+#include "version/weights/enginestatus.h"
+
+#include <algorithm>
+
+#include "base/jsonreader.h"
+#include "base/status.h"
+#include "connection/http/httpclient.h"
+#include "process/clock/clock.h"
+
+namespace nutmegplank::version::weights {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = connection::http;
+
+constexpr auto ASK_TIME = base::Duration(std::chrono::seconds(1));
+constexpr auto ASK_WATCHED = base::Duration(std::chrono::milliseconds(250));
+constexpr auto ASK_DOUBTFUL = base::Duration(std::chrono::seconds(2));
+constexpr auto ASK_QUIET = base::Duration(std::chrono::seconds(10));
+constexpr auto ASK_FAILING = base::Duration(std::chrono::seconds(1));
+constexpr auto FAILURES_UNTIL_UNKNOWN = 2U;
+constexpr auto NUMBER_RANGE = base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
+constexpr auto HTTP_OK = 200U;
+
+auto malformed(const std::string &endpoint) -> absl::Status
+{
+    return base::makeError(absl::StatusCode::kInvalidArgument, "no status of an engine",
+                           { "weights.status", endpoint });
+}
+
+} // namespace
+
+auto fetchStatus(std::string endpoint) -> asio::awaitable<absl::StatusOr<EngineStatus>>
+{
+    auto request = http::Request();
+    request.target = "/v1/status";
+    const auto response = co_await http::fetch(endpoint, std::move(request), ASK_TIME);
+    if (!response.ok())
+        co_return response.status();
+    const auto body = base::parseJson(response->body);
+    if (response->status != HTTP_OK || !body.ok() || !body->is_object())
+        co_return malformed(endpoint);
+    auto reader = base::ObjectReader(*body, endpoint);
+    auto status = EngineStatus();
+    status.bootId = reader.string("boot_id", "");
+    status.model = reader.string("model", "");
+    status.weightVersion =
+        static_cast<std::uint64_t>(reader.integer("weight_version", NUMBER_RANGE, 0));
+    status.running = static_cast<std::uint32_t>(reader.integer("running", NUMBER_RANGE, 0));
+    status.heard = process::clock::now();
+    co_return status;
+}
+
+auto StatusCache::due(const process::inventory::BackendServer &server,
+                      const process::reports::ServerLoads &loads, bool watched, base::TimePoint now)
+    -> bool
+{
+    auto &entry = m_entries[server.id];
+    if (entry.asking)
+        return false;
+    const auto load = loads.find(server.id);
+    auto every = ASK_QUIET;
+    if (load == loads.end() || !entry.status
+        || load->second.weightVersion < entry.status->weightVersion)
+        every = ASK_DOUBTFUL;
+    if (!entry.status || entry.failures > 0)
+        every = ASK_FAILING;
+    if (watched)
+        every = ASK_WATCHED;
+    const auto never = entry.asked == base::TimePoint();
+    if (!never && now - entry.asked < every)
+        return false;
+    entry.asked = now;
+    entry.asking = true;
+    return true;
+}
+
+auto StatusCache::store(const std::string &server, absl::StatusOr<EngineStatus> status,
+                        base::TimePoint now) -> void
+{
+    const auto found = m_entries.find(server);
+    if (found == m_entries.end())
+        return;
+    auto &entry = found->second;
+    entry.asking = false;
+    entry.asked = now;
+    if (status.ok()) {
+        entry.failures = 0;
+        entry.status = *status;
+        return;
+    }
+    if (++entry.failures >= FAILURES_UNTIL_UNKNOWN)
+        entry.status.reset();
+}
+
+auto StatusCache::find(const std::string &server) const -> const EngineStatus *
+{
+    const auto found = m_entries.find(server);
+    return found == m_entries.end() || !found->second.status ? nullptr : &*found->second.status;
+}
+
+auto StatusCache::keepOnly(const process::inventory::ServerView &view) -> void
+{
+    std::erase_if(m_entries, [&](const auto &entry) { return view.find(entry.first) == nullptr; });
+}
+
+} // namespace nutmegplank::version::weights
--- a/tests/standins/faultproxy/main.cpp
+++ b/tests/standins/faultproxy/main.cpp
@@ -68,22 +68,25 @@
         const auto target = entry.string("target");
         reader.absorb(entry);
         if (!process::settings::isEndpoint(listen) || !process::settings::isEndpoint(target))
-            process::runtime::exitForBadSettings("routes: listen and target must be IP numbers with ports");
-        routes[name] = std::make_unique<standins::Route>(runtime.context(), toEndpoint(listen), toEndpoint(target));
+            process::runtime::exitForBadSettings(
+                "routes: listen and target must be IP numbers with ports");
+        routes[name] = std::make_unique<standins::Route>(runtime.context(), toEndpoint(listen),
+                                                         toEndpoint(target));
         routes[name]->start();
     }
     const auto problem = reader.finish();
     if (!problem.ok())
         process::runtime::exitForBadSettings(base::toStd(problem.message()));
-    auto server = http::HttpServer(runtime.context(), {},
-                                   [&](http::Request request, http::IHttpResponder &responder)
-                                           -> asio::awaitable<void> {
-                                       co_await responder.respond(control(routes, request.body));
-                                   });
+    auto server = http::HttpServer(
+        runtime.context(), {},
+        [&](http::Request request, http::IHttpResponder &responder) -> asio::awaitable<void> {
+            co_await responder.respond(control(routes, request.body));
+        });
     const auto bound = server.listen(address, port);
     if (!bound.ok())
         process::runtime::exitForBadSettings(base::toStd(bound.status().message()));
-    process::runtime::printReady({ { "ready", true }, { "http", base::concat(address, ":", *bound) } });
+    process::runtime::printReady(
+        { { "ready", true }, { "http", base::concat(address, ":", *bound) } });
     runtime.run([&] { runtime.stop(); });
     return 0;
 }
--- a/tests/standins/faultproxy/route.cpp
+++ b/tests/standins/faultproxy/route.cpp
@@ -15,8 +15,7 @@
     : m_context(context)
     , m_acceptor(context, listen)
     , m_target(std::move(target))
-{
-}
+{ }
 
 auto Route::start() -> void
 {
@@ -66,7 +65,8 @@
     auto ignored = boost::system::error_code();
     caller.set_option(Tcp::no_delay(true), ignored);
     target.set_option(Tcp::no_delay(true), ignored);
-    auto connection = std::make_shared<Connection>(Connection { std::move(caller), std::move(target), false });
+    auto connection =
+        std::make_shared<Connection>(Connection { std::move(caller), std::move(target), false });
     connection->frozen = m_fault.mode == FaultMode::FreezeAll;
     m_connections[m_nextConnection++] = connection;
     asio::co_spawn(m_context, pump(connection, Direction::ToTarget), asio::detached);
@@ -76,18 +76,20 @@
 auto Route::vanishes(Direction direction) const -> bool
 {
     return (m_fault.mode == FaultMode::DropToTarget && direction == Direction::ToTarget)
-            || (m_fault.mode == FaultMode::DropToCaller && direction == Direction::ToCaller);
+        || (m_fault.mode == FaultMode::DropToCaller && direction == Direction::ToCaller);
 }
 
 auto Route::takeLostAnswer(Direction direction) -> bool
 {
-    if (m_fault.mode != FaultMode::LoseAnswers || direction != Direction::ToCaller || m_fault.count == 0)
+    if (m_fault.mode != FaultMode::LoseAnswers || direction != Direction::ToCaller
+        || m_fault.count == 0)
         return false;
     --m_fault.count;
     return true;
 }
 
-auto Route::pump(std::shared_ptr<Connection> connection, Direction direction) -> asio::awaitable<void>
+auto Route::pump(std::shared_ptr<Connection> connection, Direction direction)
+    -> asio::awaitable<void>
 {
     auto &from = direction == Direction::ToTarget ? connection->caller : connection->target;
     auto &to = direction == Direction::ToTarget ? connection->target : connection->caller;
@@ -116,7 +118,8 @@
         }
         if (vanishes(direction))
             continue;
-        auto [writeError, written] = co_await asio::async_write(to, asio::buffer(buffer, size), USE_TUPLE);
+        auto [writeError, written] =
+            co_await asio::async_write(to, asio::buffer(buffer, size), USE_TUPLE);
         if (writeError) {
             breakOff(*connection);
             co_return;
--- a/tests/standins/faultproxy/route.h
+++ b/tests/standins/faultproxy/route.h
@@ -9,27 +9,29 @@
 #include "base/enumtable.h"
 #include "base/timepoint.h"
 
-//! The fault proxy: TCP relays whose connections can be delayed, cut, frozen or robbed of their answers.
+//! The fault proxy: TCP relays whose connections can be delayed, cut, frozen or robbed of their
+//! answers.
 namespace nutmegplank::standins {
 
 enum class FaultMode {
     Pass,
-    Cut, //!< Breaks open connections and refuses new ones.
-    FreezeOpen, //!< Open connections fall silent for good; new ones work.
-    FreezeAll, //!< Open and new connections fall silent.
+    Cut,          //!< Breaks open connections and refuses new ones.
+    FreezeOpen,   //!< Open connections fall silent for good; new ones work.
+    FreezeAll,    //!< Open and new connections fall silent.
     DropToTarget, //!< Bytes towards the target vanish.
     DropToCaller, //!< Bytes towards the caller vanish.
-    LoseAnswers, //!< The target gets the request; the caller's connection breaks in place of the answer.
+    LoseAnswers,  //!< The target gets the request; the caller's connection breaks in place of the
+                  //!< answer.
 };
 
 constexpr auto FAULT_MODE_NAMES = base::EnumTable<FaultMode, 7> { {
-        { FaultMode::Pass, "pass" },
-        { FaultMode::Cut, "cut" },
-        { FaultMode::FreezeOpen, "freeze_open" },
-        { FaultMode::FreezeAll, "freeze_all" },
-        { FaultMode::DropToTarget, "drop_to_target" },
-        { FaultMode::DropToCaller, "drop_to_caller" },
-        { FaultMode::LoseAnswers, "lose_answers" },
+    { FaultMode::Pass, "pass" },
+    { FaultMode::Cut, "cut" },
+    { FaultMode::FreezeOpen, "freeze_open" },
+    { FaultMode::FreezeAll, "freeze_all" },
+    { FaultMode::DropToTarget, "drop_to_target" },
+    { FaultMode::DropToCaller, "drop_to_caller" },
+    { FaultMode::LoseAnswers, "lose_answers" },
 } };
 
 //! What a route does to its connections now.
@@ -64,7 +66,8 @@
 
     auto accept() -> boost::asio::awaitable<void>;
     auto relay(Tcp::socket caller) -> boost::asio::awaitable<void>;
-    auto pump(std::shared_ptr<Connection> connection, Direction direction) -> boost::asio::awaitable<void>;
+    auto pump(std::shared_ptr<Connection> connection, Direction direction)
+        -> boost::asio::awaitable<void>;
     auto vanishes(Direction direction) const -> bool;
     auto takeLostAnswer(Direction direction) -> bool;
     static auto breakOff(Connection &connection) -> void;
