--- /dev/null
+++ b/src/version/command/internal/claimturn.cpp
@@ -0,0 +1,31 @@
+#include "version/command/claimturn.h"
+
+namespace nutmegplank::version::command {
+
+namespace {
+
+constexpr auto RANKS_PER_TERM = 2;
+
+} // namespace
+
+ClaimTurn::ClaimTurn(lease::LeaseTimes times)
+    : m_times(times)
+{ }
+
+auto ClaimTurn::mayClaim(std::size_t rank, const state::LeaseState *lease, base::TimePoint now)
+    -> bool
+{
+    const auto offset = lease == nullptr ? 0 : lease->lastRenewalOffset;
+    const auto held = lease != nullptr && !lease->holder.empty();
+    if (m_lastOffset != offset || m_held != held) {
+        m_lastOffset = offset;
+        m_held = held;
+        m_since = now;
+    }
+    if (rank == 0)
+        return true;
+    const auto free = held ? m_times.claimAfter : base::Duration();
+    return now - m_since >= free + m_times.term * rank / RANKS_PER_TERM;
+}
+
+} // namespace nutmegplank::version::command
