--- a/src/app/controller/controllersettings.cpp
+++ b/src/app/controller/controllersettings.cpp
@@ -55,8 +55,7 @@
 {
     auto policy = version::plan::PlanPolicy();
     auto fields = reader.object("policy");
-    policy.spending =
-        readName(fields, "spending", version::plan::SPENDING_NAMES, policy.spending);
+    policy.spending = readName(fields, "spending", version::plan::SPENDING_NAMES, policy.spending);
     policy.zoneRoom =
         readName(fields, "zone_room", version::plan::ZONE_ROOM_NAMES, policy.zoneRoom);
     policy.growQueue = fields.number("grow_queue", 0, LARGEST_QUEUE, policy.growQueue);
--- a/src/app/controller/main.cpp
+++ b/src/app/controller/main.cpp
@@ -103,7 +103,8 @@
     auto inventory = process::inventory::makeVmListInventory(context, settings.vmList);
     auto reports = process::reports::LoadReports();
 
-    auto scopes = Scopes({ context, **link, members, *log, *inventory, reports, registry }, settings);
+    auto scopes =
+        Scopes({ context, **link, members, *log, *inventory, reports, registry }, settings);
     scopes.start();
     (*link)->setHandler([&scopes](wire::Envelope message) { scopes.take(message); });
     admin = process::admin::makeAdminHandler(
--- a/src/app/controller/scopes.cpp
+++ b/src/app/controller/scopes.cpp
@@ -32,16 +32,16 @@
 auto Scopes::start() -> void
 {
     auto &context = m_dependencies.context;
-    auto planDependencies = version::plan::PlanDependencies {
-        m_dependencies.log, *open(PLAN_SCOPE).lease, m_dependencies.inventory,
-        m_dependencies.reports, m_dependencies.metrics
-    };
+    auto planDependencies =
+        version::plan::PlanDependencies { m_dependencies.log, *open(PLAN_SCOPE).lease,
+                                          m_dependencies.inventory, m_dependencies.reports,
+                                          m_dependencies.metrics };
     m_plan = std::make_unique<version::plan::PlanRunner>(context, planDependencies, m_settings.plan,
                                                          m_settings.planPeriod);
-    auto usageDependencies = version::usage::UsageDependencies {
-        m_dependencies.log, *open(USAGE_SCOPE).caller, m_dependencies.link,
-        m_dependencies.membership, m_dependencies.metrics
-    };
+    auto usageDependencies =
+        version::usage::UsageDependencies { m_dependencies.log, *open(USAGE_SCOPE).caller,
+                                            m_dependencies.link, m_dependencies.membership,
+                                            m_dependencies.metrics };
     auto usageOptions = version::usage::UsageOptions();
     usageOptions.reporting = { m_settings.usageReporting, m_settings.reportingChecksFencing };
     usageOptions.reporter = m_settings.node.id;
@@ -115,12 +115,9 @@
         return;
     auto &scope = open(name);
     auto dependencies = version::orders::OrderDependencies {
-        m_dependencies.log,
-        *scope.caller,
-        m_dependencies.inventory,
-        m_dependencies.reports,
-        m_dependencies.metrics,
-        [this](const std::vector<std::string> &ids) { hold(ids); },
+        m_dependencies.log,       *scope.caller,
+        m_dependencies.inventory, m_dependencies.reports,
+        m_dependencies.metrics,   [this](const std::vector<std::string> &ids) { hold(ids); },
     };
     auto options = version::orders::OrderOptions();
     options.zone = zone;
@@ -139,12 +136,9 @@
         return;
     auto &scope = open(name);
     auto dependencies = version::weights::WeightDependencies {
-        m_dependencies.log,
-        *scope.caller,
-        m_dependencies.inventory,
-        m_dependencies.reports,
-        m_dependencies.metrics,
-        [this](const std::vector<std::string> &ids) { hold(ids); },
+        m_dependencies.log,       *scope.caller,
+        m_dependencies.inventory, m_dependencies.reports,
+        m_dependencies.metrics,   [this](const std::vector<std::string> &ids) { hold(ids); },
     };
     auto options = version::weights::WeightOptions();
     options.service = service;
