--- a/tests/standins/engine/engineserver.cpp
+++ b/tests/standins/engine/engineserver.cpp
@@ -292,7 +292,10 @@
         return http::jsonResponse(STATUS_CONFLICT, json::serialize(answer));
     }
     newest = std::max(newest, number);
-    if (m_orders.insert(order.id).second && order.kind == "load_weights")
+    const auto isNew = m_orders.insert(order.id).second;
+    if (isNew && order.kind == "load_model")
+        m_options.model = order.model;
+    if (isNew && order.kind == "load_weights")
         asio::co_spawn(m_context, carryOut(std::move(order)), asio::detached);
     return http::jsonResponse(202, "{}");
 }
