--- a/src/request/limit/internal/adaptivelimit.cpp
+++ b/src/request/limit/internal/adaptivelimit.cpp
@@ -11,7 +11,10 @@
 constexpr auto LOWEST_GRADIENT = 0.5;
 constexpr auto LIMIT_SHARE = 0.1; //!< Weight of a new target in the limit.
 constexpr auto STEP_FACTOR = 3.0; //!< Latency over the usual one that speaks for a cold start.
-constexpr auto STEP_ROW = 3U;     //!< So many times in a row.
+constexpr auto STEP_ROW = 3U; //!< So many times in a row,
+//! and for so long: a single stall shows in all streams of a batch at once.
+constexpr auto STEP_TIME = std::chrono::milliseconds(100);
+constexpr auto SMALLEST_STEP = 0.01; //!< Seconds; less is noise.
 constexpr auto FEWEST_SAMPLES = 10U;
 
 auto mix(double &average, double value, double share) -> void
@@ -51,9 +54,7 @@
         return false;
     if (m_samples == 0)
         m_best = m_usual = m_recent = seconds;
-    const auto isStep = m_samples >= FEWEST_SAMPLES && seconds > STEP_FACTOR * m_usual;
-    m_highInRow = isStep ? m_highInRow + 1 : 0;
-    if (m_highInRow >= STEP_ROW) {
+    if (isColdStart(seconds, now)) {
         becomeCold(now);
         return true;
     }
@@ -62,6 +63,20 @@
     return false;
 }
 
+auto AdaptiveLimit::isColdStart(double latency, base::TimePoint now) -> bool
+{
+    const auto isHigh = m_samples >= FEWEST_SAMPLES
+        && latency > std::max(STEP_FACTOR * m_usual, m_usual + SMALLEST_STEP);
+    if (!isHigh) {
+        m_highInRow = 0;
+        return false;
+    }
+    if (m_highInRow == 0)
+        m_highSince = now;
+    ++m_highInRow;
+    return m_highInRow >= STEP_ROW && now - m_highSince >= STEP_TIME;
+}
+
 auto AdaptiveLimit::follow(double latency, std::uint32_t running, base::TimePoint now) -> void
 {
     const auto most = static_cast<double>(m_warmUp.ceiling(now));
--- a/src/request/limit/internal/adaptivelimit.h
+++ b/src/request/limit/internal/adaptivelimit.h
@@ -23,6 +23,7 @@
         -> bool override;
 
 private:
+    auto isColdStart(double latency, base::TimePoint now) -> bool;
     auto follow(double latency, std::uint32_t running, base::TimePoint now) -> void;
 
     WarmUp m_warmUp;
@@ -32,6 +33,7 @@
     double m_usual = 0;      //!< Slow average.
     double m_recent = 0;     //!< Fast average.
     std::uint32_t m_samples = 0;
+    base::TimePoint m_highSince {};
     std::uint32_t m_highInRow = 0; //!< Latencies in a row that look like a cold start.
 };
 
