--- a/src/request/limit/internal/adaptivelimit.cpp
+++ b/src/request/limit/internal/adaptivelimit.cpp
@@ -4,15 +4,15 @@
 
 namespace {
 
-constexpr auto FAST_SHARE = 0.3;   //!< Weight of a new latency in the fast average.
-constexpr auto SLOW_SHARE = 0.03;  //!< The same in the slow one.
+constexpr auto FAST_SHARE = 0.3;  //!< Weight of a new latency in the fast average.
+constexpr auto SLOW_SHARE = 0.03; //!< The same in the slow one.
 //! Time in which the best latency forgets most of what has not come again.
 constexpr auto BEST_MEMORY = std::chrono::minutes(2);
-constexpr auto TOLERANCE = 2.0;    //!< Latency over the best one that does not shrink the limit.
+constexpr auto TOLERANCE = 2.0; //!< Latency over the best one that does not shrink the limit.
 constexpr auto LOWEST_GRADIENT = 0.5;
 constexpr auto LIMIT_SHARE = 0.1; //!< Weight of a new target in the limit.
 constexpr auto STEP_FACTOR = 3.0; //!< Latency over the usual one that speaks for a cold start.
-constexpr auto STEP_ROW = 3U; //!< So many times in a row,
+constexpr auto STEP_ROW = 3U;     //!< So many times in a row,
 //! and for so long: a single stall shows in all streams of a batch at once.
 constexpr auto STEP_TIME = std::chrono::milliseconds(100);
 constexpr auto SMALLEST_STEP = 0.01; //!< Seconds; less is noise.
--- a/src/request/placement/tests/placement_tests.cpp
+++ b/src/request/placement/tests/placement_tests.cpp
@@ -26,7 +26,8 @@
 
 auto anyServer(int number) -> Candidate
 {
-    auto made = server(std::to_string(number), *rc::gen::inRange(0U, 12U), *rc::gen::arbitrary<bool>());
+    auto made =
+        server(std::to_string(number), *rc::gen::inRange(0U, 12U), *rc::gen::arbitrary<bool>());
     made.alive = *rc::gen::inRange(0, 4) != 0;
     made.leaving = *rc::gen::inRange(0, 4) == 0;
     made.zoneOut = *rc::gen::inRange(0, 4) == 0;
@@ -53,9 +54,8 @@
 
 RC_GTEST_PROP(Placement, Placement_AnyPolicy_PicksOnlyAndWheneverAllowed, ())
 {
-    const auto policy =
-        *rc::gen::element(PlacementPolicy::Aware, PlacementPolicy::RoundRobin,
-                          PlacementPolicy::LeastConnections);
+    const auto policy = *rc::gen::element(PlacementPolicy::Aware, PlacementPolicy::RoundRobin,
+                                          PlacementPolicy::LeastConnections);
     const auto placement =
         makePlacement(policy, [](const std::string &, const std::string &) { return 1.0; });
     auto servers = std::vector<Candidate>();
@@ -80,8 +80,8 @@
 
 TEST(Placement, Placement_Aware_FollowsPrefixUnlessItsServerIsHot)
 {
-    const auto placement = makePlacement(
-        PlacementPolicy::Aware, [](const std::string &id, const std::string &) {
+    const auto placement =
+        makePlacement(PlacementPolicy::Aware, [](const std::string &id, const std::string &) {
             return id == "cached" ? 1.0 : 0.0;
         });
     auto request = PlacementRequest();
--- a/src/request/queue/tests/queue_tests.cpp
+++ b/src/request/queue/tests/queue_tests.cpp
@@ -34,8 +34,8 @@
 
 auto anyItem(int number) -> QueueItem
 {
-    const auto priority = *rc::gen::element(wire::PRIORITY_ORDER, wire::PRIORITY_STRAGGLER,
-                                            wire::PRIORITY_ROLLOUT);
+    const auto priority =
+        *rc::gen::element(wire::PRIORITY_ORDER, wire::PRIORITY_STRAGGLER, wire::PRIORITY_ROLLOUT);
     auto made = item(std::to_string(number), *rc::gen::element<std::string>("a", "b", "c"),
                      priority, *rc::gen::inRange(0U, 500U), *rc::gen::inRange(1U, 5U));
     made.deadline = at(*rc::gen::inRange(0, 1000));
