--- /dev/null
+++ b/src/request/execution/internal/retrypolicy.cpp
@@ -0,0 +1,77 @@
+#include "request/execution/retrypolicy.h"
+
+namespace nutmegplank::request::execution {
+
+namespace {
+
+//! Attempts that end because ownership of a shard moves cost nothing; they end with the deadline.
+constexpr auto MOST_MOVES = std::uint32_t(50);
+constexpr auto MOVE_BACKOFF = std::chrono::milliseconds(50);
+
+auto isFinal(wire::FailureCode code) -> bool
+{
+    return code == wire::FAILURE_DEADLINE || code == wire::FAILURE_CANCELLED
+        || code == wire::FAILURE_QUARANTINED;
+}
+
+auto backoffFor(const RetryInput &input, const RetrySettings &settings, double spread)
+    -> base::Duration
+{
+    auto backoff = settings.firstBackoff;
+    for (auto attempt = std::uint32_t(1); attempt < input.attempts; ++attempt)
+        backoff = std::min(backoff * 2, settings.longestBackoff);
+    const auto spreadBackoff =
+        base::Duration(static_cast<std::int64_t>(backoff.count() * (0.5 + spread)));
+    return std::max(spreadBackoff, input.retryAfter);
+}
+
+} // namespace
+
+auto isMove(wire::FailureCode code) -> bool
+{
+    return code == wire::FAILURE_NOT_OWNER || code == wire::FAILURE_FENCED;
+}
+
+auto decideRetry(const RetryInput &input, const RetrySettings &settings, double spread,
+                 base::TimePoint now) -> RetryDecision
+{
+    const auto mayHaveRun = input.ran != wire::RAN_NOT_RUN;
+    if (input.answerBegun || isFinal(input.code) || (mayHaveRun && !input.idempotent))
+        return {};
+    if (isMove(input.code)) {
+        const auto backoff = std::max<base::Duration>(MOVE_BACKOFF, input.retryAfter);
+        return { input.moves < MOST_MOVES && now + backoff < input.deadline, false, backoff };
+    }
+    if (input.attempts >= settings.mostAttempts)
+        return {};
+    if (input.code == wire::FAILURE_QUEUE_FULL && !input.otherShard)
+        return {};
+    const auto backoff = backoffFor(input, settings, spread);
+    if (now + backoff >= input.deadline)
+        return {};
+    return { true, true, backoff };
+}
+
+RetryBudget::RetryBudget(double share, double reserve)
+    : m_share(share)
+    , m_reserve(reserve)
+{ }
+
+auto RetryBudget::recordRequest(const std::string &service) -> void
+{
+    const auto lock = std::lock_guard(m_mutex);
+    auto &tokens = m_tokens.try_emplace(service, m_reserve).first->second;
+    tokens = std::min(m_reserve, tokens + m_share);
+}
+
+auto RetryBudget::take(const std::string &service) -> bool
+{
+    const auto lock = std::lock_guard(m_mutex);
+    auto &tokens = m_tokens.try_emplace(service, m_reserve).first->second;
+    if (tokens < 1)
+        return false;
+    tokens -= 1;
+    return true;
+}
+
+} // namespace nutmegplank::request::execution
--- a/src/request/execution/irequestrunner.h
+++ b/src/request/execution/irequestrunner.h
@@ -57,6 +57,7 @@
     std::vector<wire::VersionRange> ranges;
     std::uint32_t promptTokens = 0;
     std::uint32_t generatedTokens = 0;
+    std::uint32_t serverMilliseconds = 0; //!< Time that a backend server spent on it.
     std::string server;
     bool cheapServer = false;
 };
--- /dev/null
+++ b/src/request/quarantine/quarantine.cpp
@@ -0,0 +1,103 @@
+#include "request/quarantine/quarantine.h"
+
+#include "base/hash.h"
+#include "base/text.h"
+
+namespace nutmegplank::request::quarantine {
+
+namespace {
+
+constexpr auto DEATHS_TO_REFUSE = std::uint32_t(2);
+constexpr auto MOST_ENTRIES = std::size_t(10'000);
+
+} // namespace
+
+auto fingerprintOf(const std::string &workspace, const std::string &body) -> std::string
+{
+    return base::sha256Hex(base::concat(workspace.size(), ":", workspace, body));
+}
+
+Quarantine::Quarantine(QuarantineTimes times, Announce announce)
+    : m_times(times)
+    , m_announce(std::move(announce))
+{ }
+
+auto Quarantine::Entry::deaths() const -> std::uint32_t
+{
+    return std::max(deathsAlone + (diedBesideOthers ? 1 : 0), deathsElsewhere);
+}
+
+auto Quarantine::handling(const std::string &fingerprint, base::TimePoint now) -> Handling
+{
+    const auto lock = std::lock_guard(m_mutex);
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || found->second.heldUntil <= now)
+        return Handling::Normal;
+    return found->second.deaths() >= DEATHS_TO_REFUSE ? Handling::Refuse : Handling::Isolate;
+}
+
+auto Quarantine::recordDeath(const std::string &fingerprint, std::uint32_t diedBeside,
+                             base::TimePoint now) -> void
+{
+    auto message = wire::Quarantine();
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        dropExpired(now);
+        auto &entry = m_entries[fingerprint];
+        if (diedBeside > 0)
+            entry.diedBesideOthers = true;
+        else
+            ++entry.deathsAlone;
+        // A death that another gateway told of was one of the request as well.
+        if (diedBeside == 0 && entry.deathsElsewhere > 0)
+            ++entry.deathsElsewhere;
+        entry.heldUntil = now + m_times.hold;
+        message.set_fingerprint(fingerprint);
+        message.set_deaths(entry.deaths());
+        message.set_hold_ms(static_cast<std::uint32_t>(base::toMilliseconds(m_times.hold)));
+    }
+    if (m_announce)
+        m_announce(message);
+}
+
+auto Quarantine::recordSuccess(const std::string &fingerprint) -> void
+{
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        m_entries.erase(fingerprint);
+    }
+    auto message = wire::Quarantine();
+    message.set_fingerprint(fingerprint);
+    if (m_announce)
+        m_announce(message);
+}
+
+auto Quarantine::learn(const wire::Quarantine &message, base::TimePoint now) -> void
+{
+    const auto lock = std::lock_guard(m_mutex);
+    dropExpired(now);
+    if (message.deaths() == 0) {
+        m_entries.erase(message.fingerprint());
+        return;
+    }
+    auto &entry = m_entries[message.fingerprint()];
+    entry.deathsElsewhere = std::max(entry.deathsElsewhere, message.deaths());
+    const auto hold = std::min<base::Duration>(std::chrono::milliseconds(message.hold_ms()),
+                                               m_times.hold);
+    entry.heldUntil = std::max(entry.heldUntil, now + hold);
+}
+
+auto Quarantine::size() const -> std::size_t
+{
+    const auto lock = std::lock_guard(m_mutex);
+    return m_entries.size();
+}
+
+auto Quarantine::dropExpired(base::TimePoint now) -> void
+{
+    std::erase_if(m_entries, [now](const auto &entry) { return entry.second.heldUntil <= now; });
+    if (m_entries.size() >= MOST_ENTRIES)
+        m_entries.erase(m_entries.begin());
+}
+
+} // namespace nutmegplank::request::quarantine
