--- a/src/process/address/address.cpp
+++ b/src/process/address/address.cpp
@@ -65,9 +65,8 @@
 {
     auto members = candidates(query, view, configuration);
     const auto others =
-        std::partition(members.begin(), members.end(), [&query](const Member &member) {
-            return member.zone == query.self.zone;
-        });
+        std::partition(members.begin(), members.end(),
+                       [&query](const Member &member) { return member.zone == query.self.zone; });
     auto gateways = std::vector<GatewayAddress>();
     append(gateways, { members.begin(), others }, query.caller, MOST_OWN_ZONE);
     append(gateways, { others, members.end() }, query.caller, MOST_OTHER_ZONES);
--- a/src/request/admission/credentials.h
+++ b/src/request/admission/credentials.h
@@ -10,7 +10,8 @@
 //! Keys that a request carried.
 struct Credentials
 {
-    std::vector<std::string> keys; //!< Distinct ones, in the order found; not logged, not forwarded.
+    std::vector<std::string>
+        keys; //!< Distinct ones, in the order found; not logged, not forwarded.
 };
 
 //! Takes all credentials out of \a request: Authorization, X-Api-Key, the query parameter and the
--- a/src/request/admission/internal/credentials.cpp
+++ b/src/request/admission/internal/credentials.cpp
@@ -16,9 +16,19 @@
 };
 
 constexpr auto CONNECTION_HEADERS = std::array<std::string_view, 13> {
-    "connection", "keep-alive",     "proxy-connection", "transfer-encoding", "te",
-    "trailer",    "upgrade",        "expect",           "host",              "content-length",
-    "x-boot-id",  "x-deadline-ms",  "proxy-authenticate",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "te",
+    "trailer",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+    "x-boot-id",
+    "x-deadline-ms",
+    "proxy-authenticate",
 };
 
 auto equalsIgnoringCase(std::string_view left, std::string_view right) -> bool
@@ -57,8 +67,8 @@
 {
     auto output = std::string();
     for (auto at = std::size_t(0); at < text.size(); ++at) {
-        const auto isEscape = text[at] == '%' && at + 2 < text.size()
-            && hexDigit(text[at + 1]) >= 0 && hexDigit(text[at + 2]) >= 0;
+        const auto isEscape = text[at] == '%' && at + 2 < text.size() && hexDigit(text[at + 1]) >= 0
+            && hexDigit(text[at + 2]) >= 0;
         if (isEscape) {
             output += static_cast<char>(hexDigit(text[at + 1]) * 16 + hexDigit(text[at + 2]));
             at += 2;
--- a/src/request/execution/internal/attempt.h
+++ b/src/request/execution/internal/attempt.h
@@ -20,8 +20,8 @@
 //! What a message means to the run.
 enum class AttemptNews {
     Nothing,
-    Chunk,  //!< chunk() holds the next part of the answer.
-    Answer, //!< answer() is whole.
+    Chunk,   //!< chunk() holds the next part of the answer.
+    Answer,  //!< answer() is whole.
     Failure, //!< end() says how it failed.
 };
 
--- a/src/request/execution/internal/mailbox.cpp
+++ b/src/request/execution/internal/mailbox.cpp
@@ -37,7 +37,7 @@
     };
     const auto token = asio::as_tuple(asio::use_awaitable);
     co_await asio::async_initiate<decltype(token), void(boost::system::error_code)>(initiate,
-                                                                                   token);
+                                                                                    token);
 }
 
 auto Mailbox::pop(base::Duration patience) -> asio::awaitable<std::optional<RunEvent>>
--- a/src/request/execution/internal/mailbox.h
+++ b/src/request/execution/internal/mailbox.h
@@ -18,10 +18,10 @@
 struct RunEvent
 {
     enum class Kind {
-        Message,    //!< From the dispatcher.
-        NeverSent,  //!< The attempt certainly never left this process.
-        PeerLost,   //!< The dispatcher is gone.
-        Cancelled,  //!< Look at the cancellation.
+        Message,   //!< From the dispatcher.
+        NeverSent, //!< The attempt certainly never left this process.
+        PeerLost,  //!< The dispatcher is gone.
+        Cancelled, //!< Look at the cancellation.
     };
     Kind kind = Kind::Message;
     std::string attemptId;
--- a/src/request/execution/internal/run.cpp
+++ b/src/request/execution/internal/run.cpp
@@ -233,8 +233,8 @@
     const auto service = state->configuration->services.find(m_spec.service);
     input.otherShard =
         service != state->configuration->services.end() && service->second.shards > 1;
-    const auto decision = decideRetry(input, m_shared.settings.retries,
-                                      randomSpread(m_spec.requestId, m_begun), now);
+    const auto decision =
+        decideRetry(input, m_shared.settings.retries, randomSpread(m_spec.requestId, m_begun), now);
     const auto isPaid = !decision.costsBudget || m_shared.budget.take(m_spec.service);
     if (decision.retry && isPaid) {
         m_shared.metrics.retries.add();
--- a/src/request/execution/internal/run.h
+++ b/src/request/execution/internal/run.h
@@ -20,8 +20,7 @@
 private:
     auto onTime(base::TimePoint now) -> void;
     auto onEvent(RunEvent event) -> boost::asio::awaitable<void>;
-    auto onMessage(Attempt &attempt, const wire::Envelope &message)
-        -> boost::asio::awaitable<void>;
+    auto onMessage(Attempt &attempt, const wire::Envelope &message) -> boost::asio::awaitable<void>;
     auto onChunk(Attempt &attempt) -> boost::asio::awaitable<void>;
     auto handOn(Attempt &attempt) -> boost::asio::awaitable<absl::Status>;
     auto onAnswer(Attempt &attempt) -> void;
--- a/src/request/execution/requestrunner.h
+++ b/src/request/execution/requestrunner.h
@@ -26,8 +26,8 @@
 {
     ShardPolicy shardPolicy = ShardPolicy::Aware;
     RetrySettings retries;
-    double retryShare = 0.1;   //!< Retries and hedges by requests.
-    double retryReserve = 50;  //!< Retries that a quiet service may make at once.
+    double retryShare = 0.1;  //!< Retries and hedges by requests.
+    double retryReserve = 50; //!< Retries that a quiet service may make at once.
     HedgeSettings hedging;
     base::Duration acceptTime = std::chrono::milliseconds(1000); //!< From Submit to Accepted.
     base::Duration cancelTime = std::chrono::milliseconds(1000); //!< From Cancel to its answer.
--- a/src/request/execution/retrypolicy.h
+++ b/src/request/execution/retrypolicy.h
@@ -29,10 +29,10 @@
     wire::FailureCode code = wire::FAILURE_NONE;
     wire::Ran ran = wire::RAN_UNKNOWN;
     bool idempotent = false;
-    bool answerBegun = false;    //!< Part of the answer went to the caller.
-    std::uint32_t attempts = 1;  //!< Begun so far, without moves.
-    std::uint32_t moves = 0;     //!< Attempts that ended because a shard changed its owner.
-    bool otherShard = false;     //!< Another shard could take it.
+    bool answerBegun = false;     //!< Part of the answer went to the caller.
+    std::uint32_t attempts = 1;   //!< Begun so far, without moves.
+    std::uint32_t moves = 0;      //!< Attempts that ended because a shard changed its owner.
+    bool otherShard = false;      //!< Another shard could take it.
     base::Duration retryAfter {}; //!< As the dispatcher asks; 0 = not said.
     base::TimePoint deadline {};
 };
--- a/src/request/quarantine/quarantine.cpp
+++ b/src/request/quarantine/quarantine.cpp
@@ -82,8 +82,8 @@
     }
     auto &entry = m_entries[message.fingerprint()];
     entry.deathsElsewhere = std::max(entry.deathsElsewhere, message.deaths());
-    const auto hold = std::min<base::Duration>(std::chrono::milliseconds(message.hold_ms()),
-                                               m_times.hold);
+    const auto hold =
+        std::min<base::Duration>(std::chrono::milliseconds(message.hold_ms()), m_times.hold);
     entry.heldUntil = std::max(entry.heldUntil, now + hold);
 }
 
--- a/src/request/refusal/refusal.cpp
+++ b/src/request/refusal/refusal.cpp
@@ -86,8 +86,7 @@
 auto toResponse(const execution::Refusal &refusal, const std::string &requestId)
     -> connection::http::Response
 {
-    auto response =
-        connection::http::jsonResponse(refusal.httpStatus, toJson(refusal, requestId));
+    auto response = connection::http::jsonResponse(refusal.httpStatus, toJson(refusal, requestId));
     response.headers.push_back({ "X-Request-Id", requestId });
     if (refusal.retryAfterMs > 0) {
         const auto seconds =
