--- /dev/null
+++ b/src/request/idempotency/tests/idempotency_tests.cpp
@@ -0,0 +1,266 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "request/idempotency/claimround.h"
+#include "request/idempotency/recordstore.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::request::idempotency;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto KEY = "key";
+constexpr auto WORKSPACE = "workspace";
+constexpr auto MEMORY = base::Duration(60s);
+constexpr auto LONG_AGO = std::uint64_t(1'000'000);
+
+auto at(base::Duration offset) -> base::TimePoint
+{
+    return base::TimePoint(base::Duration(1h) + offset);
+}
+
+auto zoneOf(std::size_t node) -> std::string
+{
+    return "zone-" + std::to_string(node % 3);
+}
+
+auto idOf(std::size_t node) -> std::string
+{
+    return "gateway-" + std::to_string(node);
+}
+
+//! A deployment of gateways whose messages arrive or are lost as the test says.
+class Deployment
+{
+public:
+    explicit Deployment(std::size_t nodes)
+    {
+        for (auto node = std::size_t(0); node < nodes; ++node)
+            m_nodes.push_back(Node(node, LONG_AGO, at(-2 * MEMORY)));
+        observe();
+    }
+
+    //! All at \a node is lost, and a new process stands in its place.
+    auto restart(std::size_t node) -> void
+    {
+        auto &old = m_nodes[node];
+        const auto start = old.start + 120'000;
+        old = Node(node, start, now);
+        observe();
+    }
+
+    //! The gateway goes away for good.
+    auto remove(std::size_t node) -> void
+    {
+        m_nodes[node].live = false;
+        observe();
+    }
+
+    auto isLive(std::size_t node) const -> bool { return m_nodes[node].live; }
+    auto size() const -> std::size_t { return m_nodes.size(); }
+
+    //! One claim; the homes in \a silent get no message.
+    auto claim(const std::set<std::size_t> &silent) -> ClaimResult
+    {
+        auto round = ClaimRound(homesOf(recordName(WORKSPACE, KEY), candidates()), "body");
+        auto record = wire::IdempotencyRecord();
+        record.set_workspace(WORKSPACE);
+        record.set_key(KEY);
+        record.set_fingerprint("body");
+        record.set_owner("owner-" + std::to_string(++m_claims));
+        for (auto asked = round.toAsk(); !asked.empty(); asked = round.toAsk()) {
+            for (const auto &home : asked)
+                deliver(home, silent, record, true, &round);
+        }
+        const auto result = round.settle();
+        if (result == ClaimResult::Run) {
+            ++runs;
+            record.set_state(wire::RECORD_DONE);
+        }
+        for (const auto &home : round.asked())
+            deliver(home, silent, record, false, nullptr);
+        return result;
+    }
+
+    base::TimePoint now = at(0s);
+    int runs = 0;
+
+private:
+    struct Node
+    {
+        Node(std::size_t number, std::uint64_t givenStart, base::TimePoint startedAt)
+            : id(idOf(number))
+            , zone(zoneOf(number))
+            , start(givenStart)
+            , store({ MEMORY })
+            , standing({ id, zone }, start, startedAt, MEMORY)
+        { }
+        std::string id;
+        std::string zone;
+        std::uint64_t start;
+        bool live = true;
+        RecordStore store;
+        Standing standing;
+    };
+
+    auto candidates() const -> std::vector<HomeCandidate>
+    {
+        auto output = std::vector<HomeCandidate>();
+        for (const auto &node : m_nodes) {
+            if (node.live)
+                output.push_back({ node.id, node.zone });
+        }
+        return output;
+    }
+
+    auto observe() -> void
+    {
+        auto view = process::membership::MemberView();
+        for (const auto &node : m_nodes) {
+            auto member = process::membership::Member();
+            member.id = node.id;
+            member.zone = node.zone;
+            member.incarnation = node.start;
+            member.state = node.live ? process::membership::MemberState::Alive
+                                     : process::membership::MemberState::Dead;
+            view.members.push_back(member);
+        }
+        for (auto &node : m_nodes)
+            node.standing.observe(view, now);
+    }
+
+    auto deliver(const std::string &home, const std::set<std::size_t> &silent,
+                 const wire::IdempotencyRecord &record, bool claim, ClaimRound *round) -> void
+    {
+        for (auto number = std::size_t(0); number < m_nodes.size(); ++number) {
+            auto &node = m_nodes[number];
+            if (node.id != home || silent.contains(number))
+                continue;
+            auto request = wire::IdempotencyRequest();
+            request.set_claim(claim);
+            *request.mutable_record() = record;
+            auto context = StoreContext();
+            context.vouches = node.standing.vouchesFor(recordName(WORKSPACE, KEY), now);
+            context.isOwnerAlive = [](const std::string &) { return true; };
+            const auto answer = node.store.apply(request, context, now);
+            if (round != nullptr)
+                round->onAnswer(home, answer);
+        }
+    }
+
+    std::vector<Node> m_nodes;
+    int m_claims = 0;
+};
+
+} // namespace
+
+TEST(Idempotency, Idempotency_Claim_RunsOnceAndThenReplays)
+{
+    auto deployment = Deployment(5);
+    EXPECT_EQ(deployment.claim({}), ClaimResult::Run);
+    EXPECT_EQ(deployment.claim({}), ClaimResult::Replay);
+}
+
+TEST(Idempotency, Idempotency_Claim_YoungHomesAnswerUnknown)
+{
+    auto deployment = Deployment(3);
+    deployment.now += 1s;
+    deployment.restart(0);
+    deployment.restart(1);
+    deployment.now += 5s;
+    EXPECT_EQ(deployment.claim({}), ClaimResult::Unknown);
+    deployment.now += MEMORY;
+    EXPECT_EQ(deployment.claim({}), ClaimResult::Run);
+}
+
+TEST(Idempotency, Idempotency_Standing_FirstStartOfAllIsKnownEmpty)
+{
+    auto standing = Standing({ "gateway-0", "a" }, LONG_AGO, at(0s), MEMORY);
+    auto view = process::membership::MemberView();
+    auto other = process::membership::Member();
+    other.id = "gateway-1";
+    other.incarnation = LONG_AGO - 500;
+    view.members.push_back(other);
+    standing.observe(view, at(1s));
+    EXPECT_FALSE(standing.vouchesFor("name", at(1s)));
+    EXPECT_TRUE(standing.vouchesFor("name", at(3s)));
+    view.members[0].incarnation = LONG_AGO - 500'000;
+    standing.observe(view, at(4s));
+    EXPECT_FALSE(standing.vouchesFor("name", at(5s)));
+    EXPECT_TRUE(standing.vouchesFor("name", at(MEMORY)));
+}
+
+TEST(Idempotency, Idempotency_Store_UpdateOfAnotherOwnerIsIgnored)
+{
+    auto store = RecordStore({ MEMORY });
+    const auto context = StoreContext { true, [](const std::string &) { return true; } };
+    auto request = wire::IdempotencyRequest();
+    request.set_claim(true);
+    request.mutable_record()->set_owner("first");
+    EXPECT_TRUE(store.apply(request, context, at(0s)).created());
+    request.set_claim(false);
+    request.mutable_record()->set_owner("second");
+    request.mutable_record()->set_state(wire::RECORD_ABSENT);
+    store.apply(request, context, at(0s));
+    request.set_claim(true);
+    EXPECT_EQ(store.apply(request, context, at(0s)).record().owner(), "first");
+}
+
+TEST(Idempotency, Idempotency_Store_DeadOwnerMakesTheRecordUnknown)
+{
+    auto store = RecordStore({ MEMORY });
+    auto context = StoreContext { true, [](const std::string &) { return false; } };
+    auto request = wire::IdempotencyRequest();
+    request.set_claim(true);
+    request.mutable_record()->set_owner("first");
+    store.apply(request, context, at(0s));
+    request.mutable_record()->set_owner("second");
+    EXPECT_EQ(store.apply(request, context, at(1s)).record().state(), wire::RECORD_UNKNOWN);
+}
+
+//! Whatever is lost, restarted or gone within the memory: the request runs at most once.
+RC_GTEST_PROP(Idempotency, Idempotency_Claims_RunAtMostOnce, ())
+{
+    const auto nodes = *rc::gen::inRange<std::size_t>(1, 8);
+    auto deployment = Deployment(nodes);
+    const auto steps = *rc::gen::inRange(1, 25);
+    for (auto step = 0; step < steps; ++step) {
+        const auto node = *rc::gen::inRange<std::size_t>(0, nodes);
+        deployment.now += 100ms;
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            deployment.restart(node);
+            break;
+        case 1:
+            deployment.remove(node);
+            break;
+        default:
+            const auto silent = *rc::gen::container<std::set<std::size_t>>(
+                rc::gen::inRange<std::size_t>(0, nodes));
+            deployment.claim(silent);
+        }
+        RC_ASSERT(deployment.runs <= 1);
+    }
+}
+
+//! Who is a home among many is a home among any part of them that it belongs to.
+RC_GTEST_PROP(Idempotency, Idempotency_Homes_StayHomesWhenOthersLeave, (const std::string &name))
+{
+    auto all = std::vector<HomeCandidate>();
+    const auto nodes = *rc::gen::inRange<std::size_t>(1, 12);
+    for (auto node = std::size_t(0); node < nodes; ++node)
+        all.push_back({ idOf(node), zoneOf(*rc::gen::inRange<std::size_t>(0, 3)) });
+    const auto homes = homesOf(name, all);
+    auto part = std::vector<HomeCandidate>();
+    for (const auto &candidate : all) {
+        if (*rc::gen::arbitrary<bool>())
+            part.push_back(candidate);
+    }
+    const auto partHomes = homesOf(name, part);
+    for (const auto &home : homes) {
+        const auto isIt = [&home](const auto &other) { return other.id == home.id; };
+        if (std::any_of(part.begin(), part.end(), isIt))
+            RC_ASSERT(std::any_of(partHomes.begin(), partHomes.end(), isIt));
+    }
+}
