--- a/src/app/gateway/forwarder.cpp
+++ b/src/app/gateway/forwarder.cpp
@@ -3,6 +3,8 @@
 #include "app/gateway/requestspec.h"
 #include "process/clock/clock.h"
 #include "request/admission/credentials.h"
+#include "request/execution/wireheaders.h"
+#include "request/quarantine/quarantine.h"
 #include "request/refusal/refusal.h"
 
 namespace nutmegplank::app::gateway {
@@ -15,6 +17,7 @@
 using request::execution::Refusal;
 using request::execution::RequestOutcome;
 using request::execution::RequestSpec;
+using request::idempotency::ClaimResult;
 
 namespace {
 
@@ -32,6 +35,39 @@
     return keyId.empty() || request::admission::isKeyValid(*log.state()->configuration, keyId);
 }
 
+auto replayed(const wire::IdempotencyRecord &record) -> RequestOutcome
+{
+    auto outcome = RequestOutcome();
+    outcome.ok = true;
+    outcome.status = record.status();
+    outcome.headers = request::execution::toHttpHeaders(record.headers());
+    outcome.headers.push_back({ "X-Idempotent-Replay", "true" });
+    outcome.body = record.body();
+    return outcome;
+}
+
+//! An earlier request with the key may have run in all these cases, so none says "not run".
+auto refusedClaim(ClaimResult result) -> RequestOutcome
+{
+    using request::refusal::Code;
+    auto code = Code::IdempotencyUnavailable;
+    auto message = std::string("too few homes of the idempotency key answered");
+    if (result == ClaimResult::InProgress) {
+        code = Code::InProgress;
+        message = "a request with this idempotency key is running";
+    } else if (result == ClaimResult::KeyReused) {
+        code = Code::IdempotencyKeyReused;
+        message = "the idempotency key was used for another request";
+    } else if (result == ClaimResult::Unknown) {
+        code = Code::IdempotencyUnknown;
+        message = "whether a request with this idempotency key ran is not known";
+    }
+    auto outcome = RequestOutcome();
+    outcome.refusal = request::refusal::makeRefusal(code, wire::RAN_UNKNOWN,
+                                                    { message, "idempotency.claim", "", 0 });
+    return outcome;
+}
+
 auto withdrawnOutcome() -> RequestOutcome
 {
     auto outcome = RequestOutcome();
@@ -45,11 +81,12 @@
 
 Forwarder::Forwarder(request::execution::IRequestRunner &runner,
                      request::execution::KeyedRuns &runs, version::state::IPlatformLog &log,
-                     CallerMetrics &metrics)
+                     CallerMetrics &metrics, request::idempotency::IdempotencyService &idempotency)
     : m_runner(runner)
     , m_runs(runs)
     , m_log(log)
     , m_metrics(metrics)
+    , m_idempotency(idempotency)
 { }
 
 auto Forwarder::forward(Admitted admitted, std::string requestId, std::string deadlineText,
@@ -62,7 +99,13 @@
         co_return;
     }
     auto spec = std::get<RequestSpec>(std::move(made));
-    auto outcome = co_await run(admitted, std::move(spec), responder);
+    const auto key = connection::http::headerValue(admitted.request.headers, "Idempotency-Key");
+    const auto runsOnce = !key.empty() && !admitted.idempotent;
+    auto outcome = RequestOutcome();
+    if (runsOnce)
+        outcome = co_await runOnce(admitted, std::move(spec), key, responder);
+    else
+        outcome = co_await run(admitted, std::move(spec), responder);
     if (!outcome.ok) {
         co_await refuse(std::move(outcome.refusal), requestId, responder);
         co_return;
@@ -94,6 +137,22 @@
     co_return co_await m_runner.run(std::move(spec), hooks, cancellation);
 }
 
+auto Forwarder::runOnce(const Admitted &admitted, RequestSpec spec, std::string key,
+                        IHttpResponder &responder) -> asio::awaitable<RequestOutcome>
+{
+    auto fingerprint =
+        request::quarantine::fingerprintOf(spec.workspace, spec.method + spec.target + spec.body);
+    const auto claim =
+        co_await m_idempotency.claim(spec.workspace, std::move(key), std::move(fingerprint));
+    if (claim.result == ClaimResult::Replay)
+        co_return replayed(claim.record);
+    if (claim.result != ClaimResult::Run)
+        co_return refusedClaim(claim.result);
+    auto outcome = co_await run(admitted, std::move(spec), responder);
+    m_idempotency.finish(claim, outcome);
+    co_return outcome;
+}
+
 auto Forwarder::answer(RequestOutcome outcome, std::string requestId, IHttpResponder &responder)
     -> asio::awaitable<void>
 {
--- a/src/app/gateway/forwarder.h
+++ b/src/app/gateway/forwarder.h
@@ -5,6 +5,7 @@
 #include "request/admission/admission.h"
 #include "request/execution/irequestrunner.h"
 #include "request/execution/keyedruns.h"
+#include "request/idempotency/idempotencyservice.h"
 #include "version/state/iplatformlog.h"
 
 namespace nutmegplank::app::gateway {
@@ -15,7 +16,8 @@
 public:
     //! All references must outlive the forwarder.
     Forwarder(request::execution::IRequestRunner &runner, request::execution::KeyedRuns &runs,
-              version::state::IPlatformLog &log, CallerMetrics &metrics);
+              version::state::IPlatformLog &log, CallerMetrics &metrics,
+              request::idempotency::IdempotencyService &idempotency);
 
     auto forward(request::admission::Admitted admitted, std::string requestId,
                  std::string deadlineText, connection::http::IHttpResponder &responder)
@@ -25,6 +27,10 @@
     auto run(const request::admission::Admitted &admitted, request::execution::RequestSpec spec,
              connection::http::IHttpResponder &responder)
         -> boost::asio::awaitable<request::execution::RequestOutcome>;
+    //! Runs a request with an idempotency key, or answers from the record of an earlier one.
+    auto runOnce(const request::admission::Admitted &admitted, request::execution::RequestSpec spec,
+                 std::string key, connection::http::IHttpResponder &responder)
+        -> boost::asio::awaitable<request::execution::RequestOutcome>;
     auto answer(request::execution::RequestOutcome outcome, std::string requestId,
                 connection::http::IHttpResponder &responder) -> boost::asio::awaitable<void>;
     auto refuse(request::execution::Refusal refusal, std::string requestId,
@@ -34,6 +40,7 @@
     request::execution::KeyedRuns &m_runs;
     version::state::IPlatformLog &m_log;
     CallerMetrics &m_metrics;
+    request::idempotency::IdempotencyService &m_idempotency;
 };
 
 } // namespace nutmegplank::app::gateway
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "app/gateway/gateway.h"
 
+#include "base/text.h"
 #include "process/clock/clock.h"
 #include "process/logging/logging.h"
 #include "request/refusal/refusal.h"
@@ -58,6 +59,14 @@
              } };
 }
 
+auto idempotencySettings(const GatewaySettings &settings) -> request::idempotency::ServiceSettings
+{
+    auto idempotency = request::idempotency::ServiceSettings();
+    idempotency.limits.memory = settings.idempotencyMemory;
+    idempotency.majorityBound = settings.confirmBound;
+    return idempotency;
+}
+
 } // namespace
 
 Gateway::Gateway(GatewayDependencies dependencies, const GatewaySettings &settings)
@@ -68,12 +77,14 @@
     , m_steps(m_dependencies.makeSteps ? m_dependencies.makeSteps(m_runner) : nullptr)
     , m_freshness(m_dependencies.log, m_dependencies.membership, settings.confirmBound)
     , m_callerMetrics(m_dependencies.metrics)
-    , m_forwarder(m_runner, m_runs, m_dependencies.log, m_callerMetrics)
+    , m_idempotency(m_dependencies.link, m_dependencies.membership, m_dependencies.incarnation,
+                    idempotencySettings(settings))
+    , m_forwarder(m_runner, m_runs, m_dependencies.log, m_callerMetrics, m_idempotency)
     , m_handler({ m_dependencies.log, m_dependencies.membership, m_dependencies.metrics,
                   m_freshness, m_callerMetrics, m_forwarder, m_steps.get(), settings.addressKeep })
     , m_reporter({ m_dependencies.link, m_dependencies.membership, m_dependencies.log,
                    m_dependencies.usage, m_runner, m_steps.get() },
-                 m_dependencies.process)
+                 base::concat(m_dependencies.membership.self().id, "#", m_dependencies.incarnation))
     , m_shutdown(settings.addressKeep)
 { }
 
@@ -85,7 +96,7 @@
         m_runner.onDropped(message);
     });
     m_dependencies.membership.onChange(
-        [this](const process::membership::MemberViewPtr &view) { m_runner.onMembers(view); });
+        [this](const process::membership::MemberViewPtr &view) { onMembers(view); });
     m_dependencies.log.onChange(
         [this](const version::state::LogStatePtr &state) { cutWithdrawn(*state); });
     asio::co_spawn(asio::make_strand(m_dependencies.context), watch(), asio::detached);
@@ -97,12 +108,22 @@
     return m_handler.handle(std::move(request), responder);
 }
 
+auto Gateway::onMembers(const process::membership::MemberViewPtr &view) -> void
+{
+    m_runner.onMembers(view);
+    m_idempotency.onMembers(*view);
+}
+
 auto Gateway::onMessage(wire::Envelope message) -> void
 {
     if (message.has_quarantine()) {
         m_quarantine.learn(message.quarantine(), process::clock::now());
         return;
     }
+    if (message.has_idempotency_request() || message.has_idempotency_answer()) {
+        m_idempotency.onMessage(message);
+        return;
+    }
     m_runner.onMessage(std::move(message));
 }
 
--- a/src/app/gateway/gateway.h
+++ b/src/app/gateway/gateway.h
@@ -19,7 +19,7 @@
     version::state::IPlatformLog &log;
     process::metrics::Registry &metrics;
     version::usage::IUsageCounters &usage;
-    std::string process;   //!< "member id#incarnation".
+    std::uint64_t incarnation = 0;
     StepFactory makeSteps; //!< Empty: steps are refused.
 };
 
@@ -39,6 +39,7 @@
     auto shutDown(connection::http::HttpServer &server, std::function<void()> onFinished) -> void;
 
 private:
+    auto onMembers(const process::membership::MemberViewPtr &view) -> void;
     auto onMessage(wire::Envelope message) -> void;
     auto announce(const wire::Quarantine &message) -> void;
     auto watch() -> boost::asio::awaitable<void>;
@@ -54,6 +55,7 @@
     request::execution::KeyedRuns m_runs;
     request::freshness::FreshnessGate m_freshness;
     CallerMetrics m_callerMetrics;
+    request::idempotency::IdempotencyService m_idempotency;
     Forwarder m_forwarder;
     CallerHandler m_handler;
     Reporter m_reporter;
--- a/src/request/execution/internal/attempt.cpp
+++ b/src/request/execution/internal/attempt.cpp
@@ -1,5 +1,7 @@
 #include "request/execution/internal/attempt.h"
 
+#include "request/execution/wireheaders.h"
+
 namespace nutmegplank::request::execution {
 
 Attempt::Attempt(std::string id, std::string shard, std::string dispatcher, base::TimePoint sentAt)
@@ -103,23 +105,4 @@
     fail(wire::FAILURE_NONE, wire::RAN_UNKNOWN, "the dispatcher stopped answering");
 }
 
-auto toHttpHeaders(const google::protobuf::RepeatedPtrField<wire::Header> &headers)
-    -> connection::http::Headers
-{
-    auto output = connection::http::Headers();
-    for (const auto &header : headers)
-        output.push_back({ header.name(), header.value() });
-    return output;
-}
-
-auto toWireHeaders(const connection::http::Headers &headers,
-                   google::protobuf::RepeatedPtrField<wire::Header> *output) -> void
-{
-    for (const auto &header : headers) {
-        auto *added = output->Add();
-        added->set_name(header.name);
-        added->set_value(header.value);
-    }
-}
-
 } // namespace nutmegplank::request::execution
--- a/src/request/execution/internal/run.cpp
+++ b/src/request/execution/internal/run.cpp
@@ -4,6 +4,7 @@
 #include "process/clock/clock.h"
 #include "process/inventory/iinventory.h"
 #include "request/execution/internal/failuretext.h"
+#include "request/execution/wireheaders.h"
 #include "request/refusal/refusal.h"
 
 namespace nutmegplank::request::execution {
--- a/src/request/idempotency/internal/idempotencyservice.cpp
+++ b/src/request/idempotency/internal/idempotencyservice.cpp
@@ -7,7 +7,7 @@
 #include "base/hash.h"
 #include "base/text.h"
 #include "process/clock/clock.h"
-#include "request/execution/internal/attempt.h"
+#include "request/execution/wireheaders.h"
 
 namespace nutmegplank::request::idempotency {
 
@@ -112,7 +112,7 @@
         };
         const auto token = asio::as_tuple(asio::use_awaitable);
         co_await asio::async_initiate<decltype(token), void(boost::system::error_code)>(initiate,
-                                                                                       token);
+                                                                                        token);
         const auto lock = std::lock_guard(call->mutex);
         for (const auto &[home, answer] : call->answers)
             round.onAnswer(home, answer);
@@ -212,8 +212,8 @@
     static_cast<void>(m_link.send(message.reply_link(), std::move(envelope)));
 }
 
-auto IdempotencyService::takeAnswer(const std::string &home,
-                                    const wire::IdempotencyAnswer &answer) -> void
+auto IdempotencyService::takeAnswer(const std::string &home, const wire::IdempotencyAnswer &answer)
+    -> void
 {
     auto call = std::shared_ptr<Call>();
     {
