--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 
 constexpr auto WATCH_PERIOD = std::chrono::milliseconds(250);
 constexpr auto WATCHES_PER_REPORT = std::uint64_t(4);
+constexpr auto BIRTH_CHECK = std::chrono::milliseconds(20);
 constexpr auto SHUTDOWN_CHECK = std::chrono::milliseconds(100);
 //! For the last messages to leave the process.
 constexpr auto LAST_MESSAGES = std::chrono::milliseconds(200);
@@ -77,8 +78,7 @@
     , m_steps(m_dependencies.makeSteps ? m_dependencies.makeSteps(m_runner) : nullptr)
     , m_freshness(m_dependencies.log, m_dependencies.membership, settings.confirmBound)
     , m_callerMetrics(m_dependencies.metrics)
-    , m_idempotency(m_dependencies.link, m_dependencies.membership, m_dependencies.incarnation,
-                    idempotencySettings(settings))
+    , m_idempotency(m_dependencies.link, m_dependencies.membership, idempotencySettings(settings))
     , m_forwarder(m_runner, m_runs, m_dependencies.log, m_callerMetrics, m_idempotency)
     , m_handler({ m_dependencies.log, m_dependencies.membership, m_dependencies.metrics,
                   m_freshness, m_callerMetrics, m_forwarder, m_steps.get(), settings.addressKeep })
@@ -100,6 +100,7 @@
     m_dependencies.log.onChange(
         [this](const version::state::LogStatePtr &state) { cutWithdrawn(*state); });
     asio::co_spawn(asio::make_strand(m_dependencies.context), watch(), asio::detached);
+    asio::co_spawn(asio::make_strand(m_dependencies.context), lookForBirth(), asio::detached);
 }
 
 auto Gateway::handle(connection::http::Request request, connection::http::IHttpResponder &responder)
@@ -154,6 +155,14 @@
     }
 }
 
+auto Gateway::lookForBirth() -> asio::awaitable<void>
+{
+    while (m_dependencies.log.lastConfirmed() == base::TimePoint())
+        co_await sleep(BIRTH_CHECK);
+    if (m_dependencies.log.state()->configuration->services.empty())
+        m_idempotency.markBornEmpty();
+}
+
 auto Gateway::cutKeys(base::TimePoint now) -> void
 {
     if (m_freshness.mayServeKeyed(now))
--- a/src/app/gateway/gateway.h
+++ b/src/app/gateway/gateway.h
@@ -43,6 +43,8 @@
     auto onMessage(wire::Envelope message) -> void;
     auto announce(const wire::Quarantine &message) -> void;
     auto watch() -> boost::asio::awaitable<void>;
+    //! Whether the first state of the log that this process saw was an empty one.
+    auto lookForBirth() -> boost::asio::awaitable<void>;
     auto cutKeys(base::TimePoint now) -> void;
     auto cutWithdrawn(const version::state::LogState &state) -> void;
     auto finish(connection::http::HttpServer &server, std::function<void()> onFinished)
--- /dev/null
+++ b/src/request/admission/tests/admission_tests.cpp
@@ -0,0 +1,181 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "base/hash.h"
+#include "request/admission/admission.h"
+#include "request/admission/credentials.h"
+#include "request/admission/routing.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::request::admission;
+using connection::http::Request;
+using request::execution::Refusal;
+using version::configuration::Configuration;
+
+namespace {
+
+constexpr auto KEY = "a-long-secret-key-0123456789";
+constexpr auto WITHDRAWN_KEY = "a-withdrawn-key-0123456789";
+
+auto addKey(Configuration &configuration, const std::string &id, const std::string &key,
+            bool withdrawn) -> void
+{
+    const auto entry =
+        version::configuration::Key { id, "quotes", base::sha256Hex(key), withdrawn };
+    configuration.keys[id] = entry;
+    configuration.keysByHash[entry.sha256] = entry;
+}
+
+auto makeConfiguration() -> Configuration
+{
+    auto configuration = Configuration();
+    configuration.workspaces["quotes"].name = "quotes";
+    configuration.workspaces["walk-in"].name = "walk-in";
+    addKey(configuration, "key-1", KEY, false);
+    addKey(configuration, "key-2", WITHDRAWN_KEY, true);
+    configuration.services["desk"].name = "desk";
+    configuration.routes["all"] = { "all", "/orders", "desk" };
+    configuration.routes["open"] = { "open", "/orders/open", "desk", true, "walk-in" };
+    return configuration;
+}
+
+auto withKey(std::string target, std::string key) -> Request
+{
+    return { "POST", std::move(target), { { "X-Api-Key", std::move(key) } }, "{}", "" };
+}
+
+auto codeOf(const Verdict &verdict) -> std::string
+{
+    const auto *refusal = std::get_if<Refusal>(&verdict);
+    return refusal == nullptr ? "" : refusal->code;
+}
+
+auto allText(const Request &request) -> std::string
+{
+    auto text = request.target;
+    for (const auto &header : request.headers)
+        text += "\n" + header.name + ": " + header.value;
+    return text;
+}
+
+} // namespace
+
+TEST(Admission, Admission_Credentials_EachFormIsTakenAndRemoved)
+{
+    const auto forms = std::vector<Request> {
+        { "POST", "/a?x=1&y=2", { { "Authorization", std::string("bearer  ") + KEY } }, "", "" },
+        { "POST", "/a?x=1&y=2", { { "x-api-KEY", KEY } }, "", "" },
+        { "POST", std::string("/a?x=1&API_key=") + KEY + "&y=2", {}, "", "" },
+        { "POST", std::string("/a?x=1&api%5Fkey=") + KEY + "&y=2#f", {}, "", "" },
+        { "POST", std::string("/a?x=1&y=2;api_key=") + KEY, {}, "", "" },
+        { "POST",
+          "/a?x=1&y=2",
+          { { "Cookie", std::string("s=1; api_key=\"") + KEY + "\"" } },
+          "",
+          "" },
+    };
+    for (auto form : forms) {
+        const auto credentials = takeCredentials(form);
+        ASSERT_EQ(credentials.keys.size(), 1U) << form.target;
+        EXPECT_EQ(credentials.keys.front(), KEY);
+        EXPECT_EQ(form.target, "/a?x=1&y=2");
+        EXPECT_EQ(allText(form).find(KEY), std::string::npos);
+    }
+}
+
+TEST(Admission, Admission_Credentials_RepeatedElsewhereAreRemovedOrRefused)
+{
+    auto request = withKey("/orders", KEY);
+    request.headers.push_back({ "Referer", std::string("http://x/?api_key=") + KEY });
+    request.headers.push_back({ "Proxy-Authorization", "Basic abc" });
+    const auto verdict = admit(request, makeConfiguration(), true);
+    EXPECT_TRUE(std::get<Admitted>(verdict).request.headers.empty());
+    request.body = std::string("{\"key\": \"") + KEY + "\"}";
+    EXPECT_EQ(codeOf(admit(request, makeConfiguration(), true)), "misplaced_key");
+}
+
+TEST(Admission, Admission_Admit_RefusesByKeyAndRoute)
+{
+    const auto configuration = makeConfiguration();
+    const auto admitted = std::get<Admitted>(admit(withKey("/orders/1", KEY), configuration, true));
+    EXPECT_EQ(admitted.workspace, "quotes");
+    EXPECT_EQ(admitted.keyId, "key-1");
+    EXPECT_EQ(codeOf(admit(withKey("/orders", ""), configuration, true)), "missing_key");
+    EXPECT_EQ(codeOf(admit(withKey("/orders", "wrong"), configuration, true)), "unknown_key");
+    EXPECT_EQ(codeOf(admit(withKey("/orders", WITHDRAWN_KEY), configuration, true)),
+              "key_withdrawn");
+    EXPECT_EQ(codeOf(admit(withKey("/ordersX", KEY), configuration, true)), "no_route");
+    EXPECT_EQ(codeOf(admit(withKey("/orders?api_key=other", KEY), configuration, true)),
+              "ambiguous_key");
+}
+
+TEST(Admission, Admission_Admit_OpenRouteNeedsNeitherKeyNorConfirmation)
+{
+    const auto configuration = makeConfiguration();
+    const auto verdict = admit(withKey("/orders/open", ""), configuration, false);
+    EXPECT_EQ(std::get<Admitted>(verdict).workspace, "walk-in");
+    EXPECT_EQ(codeOf(admit(withKey("/orders", KEY), configuration, false)),
+              "configuration_unconfirmed");
+}
+
+TEST(Admission, Admission_Admit_AmbiguousPathsDoNotPassByOpenRoutes)
+{
+    const auto configuration = makeConfiguration();
+    for (const auto *path :
+         { "/orders/open/../secret", "/orders/open/%2e%2e/secret", "/orders/open%2f..%2fsecret",
+           "/orders//open", "/orders/open\\..", "/orders/open/..;a/secret", "orders/open", "" })
+        EXPECT_EQ(codeOf(admit(withKey(path, ""), configuration, true)), "malformed_request")
+            << path;
+}
+
+TEST(Admission, Admission_Admit_MaintenanceRefusesNewStepsOnly)
+{
+    auto configuration = makeConfiguration();
+    configuration.presets["quiet"].refuseRollouts = true;
+    configuration.presetInForce = "quiet";
+    EXPECT_EQ(codeOf(admit(withKey("/v1/steps", KEY), configuration, true)), "rollouts_refused");
+    const auto pull = admit(withKey("/v1/steps/s1/pull", KEY), configuration, true);
+    EXPECT_EQ(std::get<Admitted>(pull).target, Target::Step);
+}
+
+//! Whatever else a query holds, the key is gone and the other parameters stay in order.
+RC_GTEST_PROP(Admission, Admission_Query_LosesOnlyTheKey, ())
+{
+    const auto word = rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab%2=+é.")));
+    const auto words = *rc::gen::container<std::vector<std::string>>(word);
+    const auto place = *rc::gen::inRange<std::size_t>(0, words.size() + 1);
+    auto with = std::string();
+    auto without = std::string();
+    for (auto index = std::size_t(0); index <= words.size(); ++index) {
+        if (index == place)
+            with += std::string(with.empty() ? "" : "&") + "api_key=" + KEY;
+        if (index == words.size())
+            break;
+        with += (index == 0 && place != 0 ? "" : "&") + words[index];
+        without += (index == 0 ? "" : "&") + words[index];
+    }
+    auto request = Request { "GET", "/p?" + with, {}, "", "" };
+    const auto credentials = takeCredentials(request);
+    RC_ASSERT(credentials.keys == std::vector<std::string> { KEY });
+    RC_ASSERT(request.target == (without.empty() ? "/p" : "/p?" + without));
+}
+
+//! No bytes from a caller crash the parsers, and a key in any known form never stays.
+RC_GTEST_PROP(Admission, Admission_Parsers_SurviveAnyBytes,
+              (const std::string &target, const std::string &cookie, const std::string &value))
+{
+    auto request = Request();
+    request.target = "/" + target + "?" + value + "&api_key=" + KEY;
+    request.headers = { { "Cookie", cookie + ";api_key=" + KEY },
+                        { "Authorization", std::string("Bearer ") + KEY },
+                        { "Connection", value },
+                        { "X-Other", value + KEY } };
+    const auto credentials = takeCredentials(request);
+    removeConnectionHeaders(request.headers);
+    RC_ASSERT(!credentials.keys.empty());
+    const auto isLeft = allText(request).find(KEY) != std::string::npos;
+    RC_ASSERT(!isLeft || repeatsKey(request, credentials));
+    const auto configuration = makeConfiguration();
+    const auto verdict = admit(request, configuration, true);
+    RC_ASSERT(std::holds_alternative<Refusal>(verdict));
+}
--- a/src/request/idempotency/idempotencyservice.h
+++ b/src/request/idempotency/idempotencyservice.h
@@ -15,8 +15,8 @@
 
 //! Idempotency keys: a request with a key runs at most once, whichever gateways its repeats reach.
 //!
-//! The records of a key stand at up to three home gateways. A request is dispatched only when two of
-//! them, in different zones, have taken its claim, none knows an earlier one, and enough of them
+//! The records of a key stand at up to three home gateways. A request is dispatched only when two
+//! of them, in different zones, have taken its claim, none knows an earlier one, and enough of them
 //! vouch that there was none (see Standing). Two of three copies and two of three vouchers always
 //! share a home.
 namespace nutmegplank::request::idempotency {
@@ -40,9 +40,9 @@
 class IdempotencyService
 {
 public:
-    //! References must outlive the service. \a incarnation is that of this process.
+    //! References must outlive the service.
     IdempotencyService(connection::link::ILink &link, process::membership::IMembership &membership,
-                       std::uint64_t incarnation, ServiceSettings settings);
+                       ServiceSettings settings);
     ~IdempotencyService();
 
     auto claim(std::string workspace, std::string key, std::string fingerprint)
@@ -52,6 +52,8 @@
 
     //! Takes IdempotencyRequest and IdempotencyAnswer; others are ignored.
     auto onMessage(const wire::Envelope &message) -> void;
+    //! The log was read and declared no service yet, so that no request can have run.
+    auto markBornEmpty() -> void;
     auto onMembers(const process::membership::MemberView &view) -> void;
 
 private:
--- a/src/request/idempotency/internal/homerule.cpp
+++ b/src/request/idempotency/internal/homerule.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-//! Processes that start within this time of each other count as started together.
-constexpr auto START_SPREAD_MS = std::uint64_t(60'000);
-//! Until a starting process has heard who is there.
-constexpr auto SETTLE_TIME = std::chrono::seconds(2);
 constexpr auto COPIES = std::size_t(2);
 
 auto isHome(const std::vector<HomeCandidate> &homes, const std::string &id) -> bool
@@ -51,13 +47,11 @@
 
 auto vouchersNeeded(std::size_t homes) -> std::size_t
 {
-    return homes - copiesNeeded(homes) + 1;
+    return std::min(homes, MOST_HOMES - COPIES + 1);
 }
 
-Standing::Standing(HomeCandidate self, std::uint64_t selfStart, base::TimePoint startedAt,
-                   base::Duration memory)
+Standing::Standing(HomeCandidate self, base::TimePoint startedAt, base::Duration memory)
     : m_self(std::move(self))
-    , m_selfStart(selfStart)
     , m_startedAt(startedAt)
     , m_memory(memory)
 { }
@@ -65,14 +59,15 @@
 auto Standing::observe(const process::membership::MemberView &view, base::TimePoint now) -> void
 {
     using process::membership::MemberState;
+    m_liveOthers = 0;
     for (const auto &member : view.members) {
         if (member.role != process::membership::Role::Gateway || member.id == m_self.id)
             continue;
-        if (member.incarnation + START_SPREAD_MS < m_selfStart)
-            m_firstGeneration = false;
         auto &seen = m_seen.try_emplace(member.id, Seen { member.zone, now }).first->second;
-        if (member.state != MemberState::Dead)
-            seen.lastLive = now;
+        if (member.state == MemberState::Dead)
+            continue;
+        seen.lastLive = now;
+        ++m_liveOthers;
     }
     std::erase_if(m_seen,
                   [&](const auto &entry) { return now - entry.second.lastLive > m_memory; });
@@ -80,9 +75,10 @@
 
 auto Standing::vouchesFor(const std::string &name, base::TimePoint now) const -> bool
 {
-    const auto age = now - m_startedAt;
-    const auto isOldEnough = age >= m_memory || (m_firstGeneration && age >= SETTLE_TIME);
-    if (!isOldEnough)
+    if (now - m_startedAt < m_memory && !m_bornEmpty)
+        return false;
+    // The last one left of three homes may be the one without a copy.
+    if (m_liveOthers == 0 && m_seen.size() >= COPIES)
         return false;
     auto candidates = std::vector<HomeCandidate> { m_self };
     for (const auto &[id, seen] : m_seen)
--- a/src/request/idempotency/internal/idempotencyservice.cpp
+++ b/src/request/idempotency/internal/idempotencyservice.cpp
@@ -48,14 +48,13 @@
 
 IdempotencyService::IdempotencyService(connection::link::ILink &link,
                                        process::membership::IMembership &membership,
-                                       std::uint64_t incarnation, ServiceSettings settings)
+                                       ServiceSettings settings)
     : m_link(link)
     , m_membership(membership)
     , m_self(membership.self().id)
     , m_settings(settings)
     , m_store(settings.limits)
-    , m_standing({ m_self, membership.self().zone }, incarnation, process::clock::now(),
-                 settings.limits.memory)
+    , m_standing({ m_self, membership.self().zone }, process::clock::now(), settings.limits.memory)
 { }
 
 IdempotencyService::~IdempotencyService() = default;
@@ -228,6 +227,12 @@
     call->timer.cancel();
 }
 
+auto IdempotencyService::markBornEmpty() -> void
+{
+    const auto lock = std::lock_guard(m_mutex);
+    m_standing.markBornEmpty();
+}
+
 auto IdempotencyService::onMembers(const process::membership::MemberView &view) -> void
 {
     const auto now = process::clock::now();
