--- a/src/load/internal/loadrun.cpp
+++ b/src/load/internal/loadrun.cpp
@@ -11,24 +11,21 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-//! Sums over the trainers of a run.
-struct TrainerSums
+auto addCounts(TrainerCounts &sums, const TrainerCounts &other) -> void
 {
-    TrainerCounts counts;
-
-    auto add(const TrainerCounts &other) -> void
-    {
-        counts.samplesRequested += other.samplesRequested;
-        counts.samples.add(other.samples);
-        counts.stepsCompleted += other.stepsCompleted;
-        counts.reopened += other.reopened;
-        counts.requestsFailed += other.requestsFailed;
-        counts.weightsPublished += other.weightsPublished;
-        counts.weightsRefused += other.weightsRefused;
-        counts.idle += other.idle;
-        counts.total += other.total;
-    }
-};
+    sums.samplesRequested += other.samplesRequested;
+    sums.tokensRequested += other.tokensRequested;
+    sums.samples.add(other.samples);
+    sums.stepsStarted += other.stepsStarted;
+    sums.stepsCompleted += other.stepsCompleted;
+    sums.reopened += other.reopened;
+    sums.callsRepeated += other.callsRepeated;
+    sums.badAnswers += other.badAnswers;
+    sums.weightsPublished += other.weightsPublished;
+    sums.weightsRefused += other.weightsRefused;
+    sums.idle += other.idle;
+    sums.total += other.total;
+}
 
 auto addTrainerSummary(json::object &summary, const TrainerCounts &counts) -> void
 {
@@ -41,7 +38,7 @@
     summary["samples_too_old"] = samples.tooOld;
     summary["steps_completed"] = counts.stepsCompleted;
     summary["steps_reopened"] = counts.reopened;
-    summary["requests_failed"] = counts.requestsFailed;
+    summary["calls_repeated"] = counts.callsRepeated;
     summary["weights_published"] = counts.weightsPublished;
     summary["weights_refused"] = counts.weightsRefused;
     summary["idle_share"] = share(base::toSeconds(counts.idle), base::toSeconds(counts.total));
@@ -60,6 +57,7 @@
     summary["orders_gave_up"] = counts.gaveUp;
     summary["orders_connect_failed"] = counts.connectFailed;
     summary["orders_other_status"] = counts.otherStatus;
+    summary["refusals"] = json::value_from(counts.refusals);
 }
 
 auto addLatencies(json::object &summary, const Latencies &latencies) -> void
@@ -126,21 +124,39 @@
     });
 }
 
-auto LoadRun::summary() const -> json::object
+auto LoadRun::trainerSums() const -> TrainerCounts
 {
-    auto trainers = TrainerSums {};
+    auto sums = TrainerCounts {};
     for (const auto &trainer : m_trainers)
-        trainers.add(trainer->counts());
-    auto orders = OrderCounts {};
+        addCounts(sums, trainer->counts());
+    return sums;
+}
+
+auto LoadRun::orderSums() const -> OrderCounts
+{
+    auto sums = OrderCounts {};
+    for (const auto &desk : m_desks) {
+        if (!desk->plan().killer)
+            sums.add(desk->counts());
+    }
+    return sums;
+}
+
+auto LoadRun::summary() const -> json::object
+{
+    const auto trainers = trainerSums();
+    const auto orders = orderSums();
     auto latencies = Latencies();
     for (const auto &desk : m_desks) {
-        orders.add(desk->counts());
-        latencies.add(desk->latencies());
+        if (!desk->plan().killer)
+            latencies.add(desk->latencies());
     }
     auto summary = json::object();
-    addTrainerSummary(summary, trainers.counts);
+    addTrainerSummary(summary, trainers);
     addOrderSummary(summary, orders);
     addLatencies(summary, latencies);
+    summary["requests_failed"] = trainers.stepsStarted - trainers.stepsCompleted
+        + trainers.badAnswers + orders.gaveUp + orders.wrongAnswers + orders.otherStatus;
     return summary;
 }
 
--- a/src/load/internal/orderclient.cpp
+++ b/src/load/internal/orderclient.cpp
@@ -19,6 +19,8 @@
 constexpr auto LONGEST_RETRY = base::Duration(std::chrono::seconds(2));
 constexpr auto END_POLL = std::chrono::milliseconds(10);
 constexpr auto HTTP_OK = 200;
+constexpr auto KILLER_WORD = "CRASH"; //!< Stand-in engines crash upon it.
+constexpr auto KILLER_TOKENS = 8;
 
 auto pause(base::Duration time) -> asio::awaitable<void>
 {
@@ -54,6 +56,8 @@
     gaveUp += other.gaveUp;
     connectFailed += other.connectFailed;
     otherStatus += other.otherStatus;
+    for (const auto &[code, count] : other.refusals)
+        refusals[code] += count;
 }
 
 OrderClient::OrderClient(OrderPlan plan, std::uint64_t seed,
@@ -63,15 +67,46 @@
     , m_addresses(std::move(addresses))
 { }
 
-auto OrderClient::tryOnce(std::string id) -> asio::awaitable<Try>
+auto OrderClient::makeRequest(const std::string &id) const -> connection::http::Request
 {
     auto body = json::object();
-    body["order"] = id;
-    if (m_plan.poisonous)
-        body["crash"] = true;
+    if (m_plan.killer) {
+        body["prompt"] = base::concat(KILLER_WORD, " ", m_plan.name);
+        body["max_tokens"] = KILLER_TOKENS;
+        body["seed"] = 1;
+    } else {
+        body["order"] = id;
+    }
     auto request = jsonPost(m_plan.path, m_plan.key, json::serialize(body));
     if (m_plan.idempotencyKeys)
         request.headers.push_back({ "Idempotency-Key", id });
+    return request;
+}
+
+auto OrderClient::readRefusal(const std::string &body) -> Try
+{
+    auto outcome = Try {};
+    outcome.end = TryEnd::OtherStatus;
+    const auto answer = parsed(body);
+    const auto *error = answer.if_contains("error");
+    if (error == nullptr || !error->is_object() || !error->get_object().contains("ran"))
+        return outcome;
+    const auto &refusal = error->get_object();
+    const auto notRun = refusal.at("ran") == "not_run";
+    outcome.end = notRun ? TryEnd::NotRun : TryEnd::Unknown;
+    m_counts.refusedNotRun += notRun ? 1 : 0;
+    const auto *code = refusal.if_contains("code");
+    if (code != nullptr && code->is_string())
+        ++m_counts.refusals[code->get_string().c_str()];
+    const auto *wait = refusal.if_contains("retry_after_ms");
+    if (wait != nullptr && wait->is_int64())
+        outcome.retryAfter = std::chrono::milliseconds(wait->get_int64());
+    return outcome;
+}
+
+auto OrderClient::tryOnce(std::string id) -> asio::awaitable<Try>
+{
+    auto request = makeRequest(id);
     const auto gateway = co_await m_addresses->pick();
     const auto timeout = base::Duration(std::chrono::milliseconds(m_plan.timeoutMs));
     const auto result = co_await exchange(gateway, std::move(request), timeout);
@@ -85,22 +120,10 @@
     }
     if (result.end == ExchangeEnd::Unknown)
         co_return outcome;
-    if (result.response.status == HTTP_OK) {
-        outcome.end = confirms(result.response.body, id) ? TryEnd::Confirmed : TryEnd::WrongAnswer;
-        co_return outcome;
-    }
-    const auto answer = parsed(result.response.body);
-    const auto *error = answer.if_contains("error");
-    outcome.end = TryEnd::OtherStatus;
-    if (error == nullptr || !error->is_object() || !error->get_object().contains("ran"))
-        co_return outcome;
-    const auto &refusal = error->get_object();
-    const auto notRun = refusal.at("ran") == "not_run";
-    outcome.end = notRun ? TryEnd::NotRun : TryEnd::Unknown;
-    m_counts.refusedNotRun += notRun ? 1 : 0;
-    const auto *wait = refusal.if_contains("retry_after_ms");
-    if (wait != nullptr && wait->is_int64())
-        outcome.retryAfter = std::chrono::milliseconds(wait->get_int64());
+    if (result.response.status != HTTP_OK)
+        co_return readRefusal(result.response.body);
+    const auto confirmed = m_plan.killer || confirms(result.response.body, id);
+    outcome.end = confirmed ? TryEnd::Confirmed : TryEnd::WrongAnswer;
     co_return outcome;
 }
 
--- a/src/load/internal/receivedsamples.cpp
+++ b/src/load/internal/receivedsamples.cpp
@@ -49,6 +49,7 @@
 auto SampleCounts::add(const SampleCounts &other) -> void
 {
     delivered += other.delivered;
+    tokens += other.tokens;
     repeated += other.repeated;
     duplicated += other.duplicated;
     mislabelled += other.mislabelled;
@@ -124,6 +125,7 @@
     if (staleness > maxStaleness)
         ++m_counts.tooOld;
     ++m_counts.delivered;
+    m_counts.tokens += expected->second.maxTokens;
     m_held[sample.slot] = Held { sample.sampleId, sample.text, false };
 }
 
@@ -133,6 +135,14 @@
         m_held[slot].acknowledged = true;
 }
 
+auto ReceivedSamples::expectedTokens() const -> std::uint64_t
+{
+    auto tokens = std::uint64_t(0);
+    for (const auto &[slot, expected] : m_expected)
+        tokens += expected.maxTokens;
+    return tokens;
+}
+
 auto ReceivedSamples::heldSlots() const -> std::vector<std::string>
 {
     auto slots = std::vector<std::string>();
--- a/src/load/internal/trainerclient.cpp
+++ b/src/load/internal/trainerclient.cpp
@@ -119,7 +119,7 @@
         step.everOpened = true;
         co_return true;
     }
-    ++m_counts.requestsFailed;
+    ++m_counts.callsRepeated;
     if (result.end != ExchangeEnd::Answered)
         m_addresses->noteFailure(step.gateway, process::clock::now());
     co_return false;
@@ -131,13 +131,13 @@
     auto error = json::error_code();
     const auto value = json::parse(body, error);
     if (error || !value.is_object() || !value.get_object().contains("samples")) {
-        ++m_counts.requestsFailed;
+        ++m_counts.badAnswers;
         return PullEnd::Reopen;
     }
     for (const auto &entry : value.get_object().at("samples").as_array()) {
         const auto sample = readSample(entry);
         if (!sample) {
-            ++m_counts.requestsFailed;
+            ++m_counts.badAnswers;
             continue;
         }
         step.received.take(*sample, statedVersion, m_plan.maxStaleness);
@@ -164,12 +164,12 @@
     const auto result = co_await exchange(step.gateway, std::move(request), PULL_TIMEOUT);
     m_counts.idle += process::clock::now() - begun;
     if (result.end != ExchangeEnd::Answered) {
-        ++m_counts.requestsFailed;
+        ++m_counts.callsRepeated;
         m_addresses->noteFailure(step.gateway, process::clock::now());
         co_return PullEnd::Reopen;
     }
     if (result.response.status != HTTP_OK) {
-        ++m_counts.requestsFailed;
+        ++m_counts.callsRepeated;
         co_await pause(RETRY_PAUSE);
         co_return PullEnd::Reopen;
     }
@@ -195,7 +195,7 @@
     request.headers.push_back({ "Authorization", "Bearer " + m_plan.key });
     const auto result = co_await exchange(step.gateway, std::move(request), OPEN_TIMEOUT);
     if (result.end != ExchangeEnd::Answered)
-        ++m_counts.requestsFailed;
+        ++m_counts.callsRepeated;
 }
 
 auto TrainerClient::runStep(Step &step, base::TimePoint deadline) -> asio::awaitable<bool>
@@ -226,6 +226,8 @@
             break;
         auto step = makeStep(number);
         m_counts.samplesRequested += step.slots;
+        m_counts.tokensRequested += step.received.expectedTokens();
+        ++m_counts.stepsStarted;
         const auto complete = co_await runStep(step, deadline);
         m_counts.samples.add(step.received.counts());
         m_counts.stepsCompleted += complete ? 1 : 0;
--- a/src/load/loadrun.h
+++ b/src/load/loadrun.h
@@ -35,6 +35,10 @@
         return m_trainers;
     }
     auto desks() const -> const std::vector<std::unique_ptr<OrderClient>> & { return m_desks; }
+    //! Sums over all trainers.
+    auto trainerSums() const -> TrainerCounts;
+    //! Sums over all desks that send orders.
+    auto orderSums() const -> OrderCounts;
     //! All counts of the run as one JSON object.
     auto summary() const -> boost::json::object;
 
--- a/src/load/orderclient.h
+++ b/src/load/orderclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -8,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "connection/http/message.h"
 #include "load/addressclient.h"
 #include "load/latencies.h"
 
@@ -17,12 +19,13 @@
 struct OrderPlan
 {
     std::string name;
+    std::string workspace; //!< For reports only.
     std::string key;
     std::string path = "/orders";
     std::uint32_t count = 0;
     double perSecond = 10;
     bool idempotencyKeys = false; //!< Then unknown outcomes are sent again, too.
-    bool poisonous = false;       //!< Each order asks for a crash of its backend server.
+    bool killer = false;          //!< Sends completions that crash stand-in engines, not orders.
     std::uint32_t timeoutMs = 10'000;
 };
 
@@ -37,6 +40,7 @@
     std::uint64_t gaveUp = 0;        //!< Orders that never ran within their time.
     std::uint64_t connectFailed = 0; //!< Tries that reached no gateway.
     std::uint64_t otherStatus = 0;   //!< Answers of other kinds than the above.
+    std::map<std::string, std::uint64_t> refusals; //!< Tries, by the refusal's code.
 
     auto add(const OrderCounts &other) -> void;
 };
@@ -71,6 +75,8 @@
 
     auto runOrder(std::string id, base::TimePoint deadline) -> boost::asio::awaitable<void>;
     auto tryOnce(std::string id) -> boost::asio::awaitable<Try>;
+    auto makeRequest(const std::string &id) const -> connection::http::Request;
+    auto readRefusal(const std::string &body) -> Try;
     auto settle(TryEnd end, base::TimePoint begun) -> void;
 
     OrderPlan m_plan;
--- a/src/load/receivedsamples.h
+++ b/src/load/receivedsamples.h
@@ -39,6 +39,7 @@
 struct SampleCounts
 {
     std::uint64_t delivered = 0;
+    std::uint64_t tokens = 0;     //!< Of delivered samples.
     std::uint64_t repeated = 0;   //!< Came again before they were acknowledged, equal in all.
     std::uint64_t duplicated = 0; //!< Came again though acknowledged, or with other content.
     std::uint64_t mislabelled = 0;
@@ -69,6 +70,8 @@
 
     auto counts() const -> const SampleCounts & { return m_counts; }
     auto heldSlots() const -> std::vector<std::string>;
+    //! Tokens of all slots together.
+    auto expectedTokens() const -> std::uint64_t;
     auto isComplete() const -> bool { return m_held.size() == m_expected.size(); }
 
 private:
--- a/src/load/trainerclient.h
+++ b/src/load/trainerclient.h
@@ -17,6 +17,7 @@
 struct TrainerPlan
 {
     std::string name;
+    std::string workspace; //!< For reports only.
     std::string key;
     std::string service;
     std::uint32_t steps = 1;
@@ -37,10 +38,13 @@
 struct TrainerCounts
 {
     std::uint64_t samplesRequested = 0;
+    std::uint64_t tokensRequested = 0;
     SampleCounts samples;
+    std::uint64_t stepsStarted = 0;
     std::uint64_t stepsCompleted = 0;
     std::uint64_t reopened = 0;
-    std::uint64_t requestsFailed = 0; //!< Calls without a whole and good answer.
+    std::uint64_t callsRepeated = 0; //!< Calls without a good answer, made again later.
+    std::uint64_t badAnswers = 0;    //!< Answers that broke the agreed form.
     std::uint64_t weightsPublished = 0;
     std::uint64_t weightsRefused = 0;
     base::Duration idle {}; //!< Waited for samples with nothing to train on.
