--- a/src/request/step/internal/stepsession.cpp
+++ b/src/request/step/internal/stepsession.cpp
@@ -96,6 +96,8 @@
         return;
     noteLogVersion();
     const auto now = process::clock::now();
+    if (now - m_lastPull > m_resources.policy.unattendedTime)
+        return;
     auto self = shared_from_this();
     while (const auto start = m_machine.nextStart(now)) {
         if (start->hedge)
--- a/src/request/step/istepservice.h
+++ b/src/request/step/istepservice.h
@@ -33,6 +33,8 @@
         8ULL * 1024 * 1024; //!< Finished samples that wait, and room for running ones.
     std::uint64_t pullBytes = 2ULL * 1024 * 1024; //!< Text that one pull hands out, about.
     base::Duration generationTime = std::chrono::minutes(5); //!< Deadline of one generation.
+    //! A step that nobody pulls for so long starts nothing more.
+    base::Duration unattendedTime = std::chrono::seconds(10);
     base::Duration abandonTime = std::chrono::seconds(60); //!< A step that nobody pulls is closed.
 };
 
--- a/src/request/step/tests/fakes.h
+++ b/src/request/step/tests/fakes.h
@@ -88,10 +88,12 @@
         const auto seed = request.at("seed").to_number<std::uint64_t>();
         const auto count = request.at("max_tokens").to_number<std::uint32_t>();
         auto text = std::string();
-        for (auto index = std::uint32_t(0); index < count; ++index)
+        for (auto index = std::uint32_t(0); index < count; ++index) {
+            const auto version = weightVersion.load();
             text += base::concat("data: {\"index\": ", index, ", \"tokens\": [\"",
-                                 load::tokenAt(prompt, seed, index, weightVersion),
-                                 "\"], \"weight_version\": ", weightVersion.load(), "}\n\n");
+                                 load::tokenAt(prompt, seed, index, version),
+                                 "\"], \"weight_version\": ", version, "}\n\n");
+        }
         return text
             + base::concat("data: {\"done\": true, \"generated_tokens\": ", count + (lies ? 1 : 0),
                            "}\n\ndata: [DONE]\n\n");
