A new holder of a zone replaces lost servers at once

Change: every controller notes what the list has shown, in charge or not. Ruled out: a record for each listed server (appends for nothing), a shorter wait (over-orders when the list lags).

--- a/src/version/command/claimturn.h
+++ b/src/version/command/claimturn.h
@@ -11,7 +11,7 @@
 //! Whose turn it is to claim a free scope. Scopes are spread over the live controllers by
 //! rendezvous hashing of the scope: the first of the ranking claims at once, each further one
 //! later, so that a dead favourite does not leave the scope without a holder. The rule is that of
-//! FR-013 and FR-014 of the paper named in docs/DESIGN.md.
+//! FR-013 and FR-014 of the feature specification cited in docs/DESIGN.md.
 class ClaimTurn
 {
 public:
--- a/src/version/orders/internal/orderloop.h
+++ b/src/version/orders/internal/orderloop.h
@@ -23,6 +23,7 @@
 private:
     auto run() -> boost::asio::awaitable<void>;
     auto tick(base::TimePoint now) -> void;
+    auto watch(base::TimePoint now) -> void;
     auto makeInput(base::TimePoint now) -> ZoneInput;
     auto begin(const NewOrder &order, std::uint64_t fencingNumber) -> void;
     auto writeIntent(state::OrderState order, std::uint64_t fencingNumber)
@@ -41,6 +42,7 @@
     std::map<std::string, state::OrderState> m_writing; //!< By order id: not yet read back.
     std::set<std::string> m_sending;                    //!< Order ids with a call under way.
     base::TimePoint m_lastHold {};
+    base::TimePoint m_lastWatch {};
     process::metrics::Counter &m_intents;
     process::metrics::Counter &m_calls;
     process::metrics::Counter &m_unclear;
--- a/src/version/orders/internal/orderrunner.cpp
+++ b/src/version/orders/internal/orderrunner.cpp
@@ -16,6 +16,7 @@
 
 constexpr auto APPEND_TIME = base::Duration(std::chrono::seconds(5));
 constexpr auto HOLD_EVERY = base::Duration(std::chrono::seconds(2));
+constexpr auto WATCH_EVERY = base::Duration(std::chrono::milliseconds(500));
 constexpr auto MOST_CALLS = std::size_t(16); //!< Under way at a time.
 
 auto zoneLabel(const std::string &zone) -> Labels
@@ -86,7 +87,10 @@
     input.out = state->configuration->isZoneOut(m_options.zone);
     input.targets = state->plan.targets;
     input.servers = m_dependencies.inventory.view();
-    input.orders = state->orders;
+    for (const auto &[id, order] : state->orders) {
+        if (order.zone == m_options.zone)
+            input.orders.emplace(id, order);
+    }
     for (const auto &[id, order] : m_writing)
         input.writing.push_back(order);
     input.loads = m_dependencies.reports.servers(now);
@@ -98,12 +102,14 @@
 {
     const auto number = m_dependencies.caller.observe(now);
     if (number != m_number) {
-        m_decider = ZoneOrders(m_options.times);
+        m_decider.takeOver();
         m_writing.clear();
     }
     m_number = number;
-    if (!number || !m_dependencies.caller.mayCall(now, m_options.ordering.checksFencing))
+    if (!number || !m_dependencies.caller.mayCall(now, m_options.ordering.checksFencing)) {
+        watch(now);
         return;
+    }
     const auto input = makeInput(now);
     const auto decision = m_decider.decide(input);
     holdServers(decision.hold, now);
@@ -119,6 +125,14 @@
     }
 }
 
+auto OrderRunner::Loop::watch(base::TimePoint now) -> void
+{
+    if (now - m_lastWatch < WATCH_EVERY)
+        return;
+    m_lastWatch = now;
+    m_decider.watch(makeInput(now));
+}
+
 auto OrderRunner::Loop::begin(const NewOrder &order, std::uint64_t fencingNumber) -> void
 {
     auto made = state::OrderState();
--- a/src/version/orders/internal/zoneorders.cpp
+++ b/src/version/orders/internal/zoneorders.cpp
@@ -66,9 +66,15 @@
     : m_times(times)
 { }
 
+auto ZoneOrders::takeOver() -> void
+{
+    m_draining.clear();
+    m_refusals.clear();
+}
+
 auto ZoneOrders::decide(const ZoneInput &input) -> ZoneDecision
 {
-    note(input);
+    watch(input);
     auto decision = ZoneDecision();
     for (const auto &[id, order] : input.orders) {
         if (order.zone == input.zone && !order.settled)
@@ -89,7 +95,7 @@
     return decision;
 }
 
-auto ZoneOrders::note(const ZoneInput &input) -> void
+auto ZoneOrders::watch(const ZoneInput &input) -> void
 {
     for (const auto &[id, order] : input.orders) {
         if (order.zone != input.zone || order.kind != state::OrderKind::Create)
--- a/src/version/orders/tests/zoneorders_tests.cpp
+++ b/src/version/orders/tests/zoneorders_tests.cpp
@@ -188,6 +188,24 @@
     RC_ASSERT(world.count(true) == world.wanted(true));
 }
 
+TEST(Orders_Zone, WatcherReplacesWhatWentAtOnceAfterTakeover)
+{
+    auto zone = ZoneOrders({});
+    auto input = ZoneInput();
+    input.zone = "a";
+    input.targets = { { "s", "a", 1, 0 } };
+    input.orders["1"] = { "1", OrderKind::Create, "s", "a", false, "vm", true };
+    auto listed = std::make_shared<ServerView>();
+    listed->servers.push_back({ "vm", "s", "a" });
+    input.servers = listed;
+    zone.watch(input);
+    zone.takeOver();
+    input.servers = std::make_shared<ServerView>();
+    EXPECT_EQ(zone.decide(input).intents.size(), 1U);
+    // One that has never seen the server takes it for not listed yet.
+    EXPECT_TRUE(ZoneOrders({}).decide(input).intents.empty());
+}
+
 TEST(Orders_Zone, RefusedCheapIsReplacedForAWhile)
 {
     auto zone = ZoneOrders({});
--- a/src/version/orders/zoneorders.h
+++ b/src/version/orders/zoneorders.h
@@ -34,7 +34,7 @@
     bool out = false; //!< Operators took the zone out: everything is given back.
     std::vector<state::PlanTarget> targets;          //!< Of all zones.
     process::inventory::ServerViewPtr servers;       //!< Of all zones.
-    std::map<std::string, state::OrderState> orders; //!< Of all zones, from the log.
+    std::map<std::string, state::OrderState> orders; //!< Of the zone, from the log.
     std::vector<state::OrderState> writing;          //!< Intents that are not yet read back.
     process::reports::ServerLoads loads;
     base::TimePoint now {};
@@ -62,6 +62,11 @@
 public:
     explicit ZoneOrders(OrderTimes times);
 
+    //! Notes which orders the list has shown, without deciding. A process that is not in charge
+    //! calls it too, so that it knows after a takeover which servers have come and gone.
+    auto watch(const ZoneInput &input) -> void;
+    //! Forgets what only the process in charge knows; for the first decision after a takeover.
+    auto takeOver() -> void;
     auto decide(const ZoneInput &input) -> ZoneDecision;
     //! The platform refused to make a server; the next try waits.
     auto refused(const std::string &service, bool cheap, base::TimePoint now) -> void;
@@ -82,7 +87,6 @@
     };
     using Capacities = std::map<std::string, Capacity>; //!< By service.
 
-    auto note(const ZoneInput &input) -> void;
     auto capacities(const ZoneInput &input) const -> Capacities;
     auto countOrder(const ZoneInput &input, const state::OrderState &order,
                     Capacities &capacities) const -> void;
