--- a/src/app/controller/scopes.cpp
+++ b/src/app/controller/scopes.cpp
@@ -76,14 +76,16 @@
 auto Scopes::mayClaim(const std::string &scope, version::command::ClaimTurn &turn,
                       base::TimePoint now) const -> bool
 {
-    const auto ids =
-        m_dependencies.membership.view()->liveIds(process::membership::Role::Controller);
-    const auto ranking = base::rendezvousRanking(scope, ids);
-    const auto own = std::find(ranking.begin(), ranking.end(), m_settings.node.id);
-    const auto rank = static_cast<std::size_t>(own - ranking.begin());
+    const auto rankOf = [&] {
+        const auto ids =
+            m_dependencies.membership.view()->liveIds(process::membership::Role::Controller);
+        const auto ranking = base::rendezvousRanking(scope, ids);
+        const auto own = std::find(ranking.begin(), ranking.end(), m_settings.node.id);
+        return static_cast<std::size_t>(own - ranking.begin());
+    };
     const auto state = m_dependencies.log.state();
     const auto lease = state->leases.find(scope);
-    return turn.mayClaim(rank, lease == state->leases.end() ? nullptr : &lease->second, now);
+    return turn.mayClaim(rankOf, lease == state->leases.end() ? nullptr : &lease->second, now);
 }
 
 auto Scopes::follow() -> asio::awaitable<void>
--- a/src/version/command/claimturn.h
+++ b/src/version/command/claimturn.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 #include "base/timepoint.h"
@@ -17,9 +18,10 @@
 public:
     explicit ClaimTurn(lease::LeaseTimes times);
 
-    //! \a rank of this process for the scope, 0 = first; \a lease as the log has it, null when
-    //! nobody ever claimed it.
-    auto mayClaim(std::size_t rank, const state::LeaseState *lease, base::TimePoint now) -> bool;
+    //! \a rankOf gives the rank of this process for the scope, 0 = first; it is asked only when the
+    //! scope may be free. \a lease as the log has it, null when nobody ever claimed it.
+    auto mayClaim(const std::function<std::size_t()> &rankOf, const state::LeaseState *lease,
+                  base::TimePoint now) -> bool;
 
 private:
     lease::LeaseTimes m_times;
--- a/src/version/command/internal/claimturn.cpp
+++ b/src/version/command/internal/claimturn.cpp
@@ -12,8 +12,8 @@
     : m_times(times)
 { }
 
-auto ClaimTurn::mayClaim(std::size_t rank, const state::LeaseState *lease, base::TimePoint now)
-    -> bool
+auto ClaimTurn::mayClaim(const std::function<std::size_t()> &rankOf, const state::LeaseState *lease,
+                         base::TimePoint now) -> bool
 {
     const auto offset = lease == nullptr ? 0 : lease->lastRenewalOffset;
     const auto held = lease != nullptr && !lease->holder.empty();
@@ -22,6 +22,9 @@
         m_held = held;
         m_since = now;
     }
+    if (held && now - m_since < m_times.term)
+        return false;
+    const auto rank = rankOf();
     if (rank == 0)
         return true;
     const auto free = held ? m_times.claimAfter : base::Duration();
