--- a/src/version/command/claimturn.h
+++ b/src/version/command/claimturn.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 #include "base/timepoint.h"
@@ -11,15 +12,16 @@
 //! Whose turn it is to claim a free scope. Scopes are spread over the live controllers by
 //! rendezvous hashing of the scope: the first of the ranking claims at once, each further one
 //! later, so that a dead favourite does not leave the scope without a holder. The rule is that of
-//! FR-013 and FR-014 of the paper named in docs/DESIGN.md.
+//! FR-013 and FR-014 of the feature specification cited in docs/DESIGN.md.
 class ClaimTurn
 {
 public:
     explicit ClaimTurn(lease::LeaseTimes times);
 
-    //! \a rank of this process for the scope, 0 = first; \a lease as the log has it, null when
-    //! nobody ever claimed it.
-    auto mayClaim(std::size_t rank, const state::LeaseState *lease, base::TimePoint now) -> bool;
+    //! \a rankOf gives the rank of this process for the scope, 0 = first; it is asked only when the
+    //! scope may be free. \a lease as the log has it, null when nobody ever claimed it.
+    auto mayClaim(const std::function<std::size_t()> &rankOf, const state::LeaseState *lease,
+                  base::TimePoint now) -> bool;
 
 private:
     lease::LeaseTimes m_times;
