--- a/src/process/dispatch/dispatcher.h
+++ b/src/process/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,7 @@
     };
 
     auto follow() -> void;
+    auto dropDeadGateways(const membership::MemberView &view) -> void;
     auto ownedIn(const World &world) const -> std::vector<std::string>;
     auto mayServe(base::TimePoint now) const -> bool;
     auto workerOf(const std::string &shard, const std::string &service) -> WorkerPtr;
@@ -90,6 +92,7 @@
     std::function<void()> m_onDrained;
     base::TimePoint m_nextReport {};
     World m_world;
+    std::set<std::string> m_deadGateways; //!< Link addresses.
     std::vector<std::string> m_owned; //!< Shards that hash to this process.
     bool m_draining = false;
 };
--- a/src/process/dispatch/internal/dispatcher.cpp
+++ b/src/process/dispatch/internal/dispatcher.cpp
@@ -110,6 +110,8 @@
         const auto name = base::nameOf(shards::SHARD_STATE_NAMES, change.after);
         logging::info("shard.state", { { "shard", change.shard }, { "state", std::string(name) } });
     }
+    if (world.members != m_world.members)
+        dropDeadGateways(*world.members);
     const auto same = changes.empty() && world.configuration == m_world.configuration
         && world.servers == m_world.servers;
     m_world = std::move(world);
@@ -117,6 +119,24 @@
         updateWorkers();
 }
 
+auto Dispatcher::dropDeadGateways(const membership::MemberView &view) -> void
+{
+    auto dead = std::set<std::string>();
+    for (const auto &member : view.members) {
+        const auto isDead = member.state == membership::MemberState::Dead;
+        if (isDead && member.role == membership::Role::Gateway)
+            dead.insert(member.linkAddress);
+    }
+    for (const auto &address : dead) {
+        if (m_deadGateways.contains(address))
+            continue;
+        for (const auto &[shard, worker] : m_workers)
+            asio::post(worker->executor(),
+                       [worker = worker, address] { worker->dropFrom(address); });
+    }
+    m_deadGateways = std::move(dead);
+}
+
 auto Dispatcher::ownedIn(const World &world) const -> std::vector<std::string>
 {
     if (world.draining)
--- a/src/process/dispatch/internal/shardworker.cpp
+++ b/src/process/dispatch/internal/shardworker.cpp
@@ -138,6 +138,22 @@
            { wire::FAILURE_CANCELLED, "cancelled", "dispatch.cancel", 0 });
 }
 
+auto ShardWorker::dropFrom(const std::string &replyLink) -> void
+{
+    auto dropped = std::vector<std::string>();
+    for (const auto &[id, pending] : m_pending) {
+        if (pending.replyLink == replyLink)
+            dropped.push_back(id);
+    }
+    for (const auto &[id, running] : m_running) {
+        const auto &pending = running->pending;
+        if (pending.replyLink == replyLink && pending.submit.idempotent())
+            dropped.push_back(id);
+    }
+    for (const auto &id : dropped)
+        cancel(id);
+}
+
 auto ShardWorker::rejectQueued(const request::queue::QueueItem &item, const Rejection &rejection)
     -> void
 {
--- a/src/process/dispatch/shardworker.h
+++ b/src/process/dispatch/shardworker.h
@@ -58,6 +58,9 @@
     auto executor() const -> const Strand & { return m_strand; }
     auto submit(wire::Submit submit, std::string replyLink) -> void;
     auto cancel(const std::string &attemptId) -> void;
+    //! The gateway at \a replyLink has died: what waits for it is dropped, and what runs is ended if
+    //! it may be repeated.
+    auto dropFrom(const std::string &replyLink) -> void;
     auto update(ShardUpdate update) -> void;
     auto notice(const wire::ServerNotice &notice) -> void;
     //! Expires, starts what may start now, cuts what is too late. Called several times a second.
--- a/src/process/dispatch/tests/dispatcher_tests.cpp
+++ b/src/process/dispatch/tests/dispatcher_tests.cpp
@@ -333,6 +333,16 @@
     EXPECT_TRUE(outcome("thawed").has_done());
 }
 
+TEST_F(DispatcherTest, Dispatch_DeadGateway_ItsWorkIsDropped)
+{
+    for (auto number = 0; number < 4; ++number)
+        submit(completion(base::concat("long", number), "p", 2000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    m_membership.addDeadGateway("gateway");
+    for (auto number = 0; number < 4; ++number)
+        EXPECT_EQ(outcome(base::concat("long", number)).failed().code(), wire::FAILURE_CANCELLED);
+}
+
 TEST_F(DispatcherTest, Dispatch_ZoneOut_QueuedWorkDoesNotRunThere)
 {
     for (auto number = 0; number < 4; ++number)
--- a/src/process/dispatch/tests/fakes.h
+++ b/src/process/dispatch/tests/fakes.h
@@ -79,7 +79,11 @@
         view.members.push_back(m_self);
         m_view = std::make_shared<membership::MemberView>(view);
     }
-    auto view() const -> membership::MemberViewPtr override { return m_view; }
+    auto view() const -> membership::MemberViewPtr override
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        return m_view;
+    }
     auto self() const -> membership::Member override { return m_self; }
     auto setProgress(membership::OwnProgress) -> void override { }
     auto leave() -> void override { }
@@ -91,9 +95,22 @@
     }
     auto onChange(std::function<void(membership::MemberViewPtr)>) -> void override { }
 
+    auto addDeadGateway(const std::string &link) -> void
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        auto view = *m_view;
+        auto &gateway = view.members.emplace_back();
+        gateway.id = "gateway-0";
+        gateway.linkAddress = link;
+        gateway.state = membership::MemberState::Dead;
+        gateway.lastHeard = clock::now();
+        m_view = std::make_shared<membership::MemberView>(view);
+    }
+
     std::atomic<bool> hears = true;
 
 private:
+    mutable std::mutex m_mutex;
     membership::Member m_self;
     membership::MemberViewPtr m_view;
 };
--- a/src/request/attempt/internal/attempt.cpp
+++ b/src/request/attempt/internal/attempt.cpp
@@ -122,11 +122,11 @@
     m_hooks.onBootId(http::headerValue(head->headers, "X-Boot-Id"));
     const auto refused =
         head->status == STATUS_BUSY && http::headerValue(head->headers, "X-Not-Run") == "true";
-    if (refused)
-        co_return co_await refusedByServer(connection, std::move(*head));
-    if (!m_spec.engine)
+    if (!m_spec.engine && !refused)
         m_hooks.onLatency(m_hooks.now() - begun);
-    co_return co_await readAnswer(connection, std::move(*head));
+    auto rest = refused ? refusedByServer(connection, std::move(*head))
+                        : readAnswer(connection, std::move(*head));
+    co_return co_await std::move(rest);
 }
 
 auto Attempt::refusedByServer(http::IHttpConnection &connection, http::Response head)
