--- a/src/process/dispatch/dispatcher.h
+++ b/src/process/dispatch/dispatcher.h
@@ -93,7 +93,7 @@
     base::TimePoint m_nextReport {};
     World m_world;
     std::set<std::string> m_deadGateways; //!< Link addresses.
-    std::vector<std::string> m_owned; //!< Shards that hash to this process.
+    std::vector<std::string> m_owned;     //!< Shards that hash to this process.
     bool m_draining = false;
 };
 
--- a/src/process/dispatch/internal/shardworker.cpp
+++ b/src/process/dispatch/internal/shardworker.cpp
@@ -119,6 +119,8 @@
                         RETRY_AFTER_FULL_MS });
     (void)answer(replyLink, acceptedMessage(submit.attempt_id()));
     const auto id = item.id;
+    if (submit.isolate())
+        m_isolated.insert(id);
     m_pending.emplace(id, Pending { std::move(submit), std::move(replyLink), std::move(item) });
     pump();
 }
@@ -279,6 +281,24 @@
         m_earlyRefusal.onEmpty();
 }
 
+auto ShardWorker::reservedServer(const std::vector<request::placement::Candidate> &candidates)
+    -> std::optional<std::size_t>
+{
+    std::erase_if(m_isolated, [this](const auto &id) { return !m_pending.contains(id); });
+    auto best = std::optional<std::size_t>();
+    if (m_isolated.empty())
+        return best;
+    // Under steady load no server would ever become empty by itself.
+    for (auto index = std::size_t(0); index < candidates.size(); ++index) {
+        const auto &server = candidates[index];
+        const auto usable =
+            server.alive && !server.leaving && !server.zoneOut && !server.held && !server.alone;
+        if (usable && (!best || server.running < candidates[*best].running))
+            best = index;
+    }
+    return best;
+}
+
 auto ShardWorker::startNext() -> bool
 {
     if (m_queue->size() == 0)
@@ -287,6 +307,7 @@
     auto candidates = std::vector<request::placement::Candidate>();
     for (const auto &[id, server] : m_servers)
         candidates.push_back(server->candidate(present));
+    const auto reserved = reservedServer(candidates);
     const auto rolloutsMayRun = mayRun(wire::PRIORITY_ROLLOUT);
     auto chosen = std::optional<std::size_t>();
     const auto canStart = [&](const request::queue::QueueItem &item) {
@@ -297,6 +318,8 @@
         const auto &submit = m_pending.at(item.id).submit;
         const auto avoided =
             std::vector<std::string>(submit.avoid_servers().begin(), submit.avoid_servers().end());
+        if (reserved.has_value())
+            candidates[*reserved].alone = !submit.isolate();
         auto request = request::placement::PlacementRequest();
         request.idempotent = submit.idempotent();
         request.isolate = submit.isolate();
--- a/src/process/dispatch/shardworker.h
+++ b/src/process/dispatch/shardworker.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -58,8 +59,8 @@
     auto executor() const -> const Strand & { return m_strand; }
     auto submit(wire::Submit submit, std::string replyLink) -> void;
     auto cancel(const std::string &attemptId) -> void;
-    //! The gateway at \a replyLink has died: what waits for it is dropped, and what runs is ended if
-    //! it may be repeated.
+    //! The gateway at \a replyLink has died: what waits for it is dropped, and what runs is ended
+    //! if it may be repeated.
     auto dropFrom(const std::string &replyLink) -> void;
     auto update(ShardUpdate update) -> void;
     auto notice(const wire::ServerNotice &notice) -> void;
@@ -109,6 +110,8 @@
     auto pump() -> void;
     auto startNext() -> bool;
     auto mayRun(wire::Priority priority) const -> bool;
+    auto reservedServer(const std::vector<request::placement::Candidate> &candidates)
+        -> std::optional<std::size_t>;
     auto start(Pending pending, EntryPtr server) -> void;
     auto specOf(const Pending &pending) const -> request::attempt::AttemptSpec;
     auto hooksOf(const RunningPtr &running) -> request::attempt::AttemptHooks;
@@ -142,6 +145,7 @@
     request::placement::PrefixIndex m_prefixes;
     std::unique_ptr<request::placement::IPlacement> m_placement;
     std::unordered_map<std::string, Pending> m_pending;
+    std::set<std::string> m_isolated; //!< Waiting attempts that must run alone.
     std::unordered_map<std::string, RunningPtr> m_running;
     std::map<std::string, EntryPtr> m_servers;           //!< By id.
     std::map<std::string, std::uint64_t> m_cacheCursors; //!< Next cache event, by server.
--- a/src/process/dispatch/tests/dispatcher_tests.cpp
+++ b/src/process/dispatch/tests/dispatcher_tests.cpp
@@ -333,6 +333,23 @@
     EXPECT_TRUE(outcome("thawed").has_done());
 }
 
+TEST_F(DispatcherTest, Dispatch_IsolatedRequest_RunsAloneEvenUnderSteadyLoad)
+{
+    warmUp();
+    constexpr auto REQUESTS = 30;
+    for (auto number = 0; number < REQUESTS; ++number)
+        submit(completion(base::concat("load", number), "p", 40));
+    auto alone = completion("alone", "CRASH", 5);
+    alone.set_isolate(true);
+    alone.set_priority(wire::PRIORITY_STRAGGLER);
+    submit(alone);
+    const auto answer = outcome("alone").failed();
+    EXPECT_TRUE(answer.server_died());
+    EXPECT_EQ(answer.died_beside(), 0U);
+    for (auto number = 0; number < REQUESTS; ++number)
+        EXPECT_TRUE(outcome(base::concat("load", number)).has_done());
+}
+
 TEST_F(DispatcherTest, Dispatch_DeadGateway_ItsWorkIsDropped)
 {
     for (auto number = 0; number < 4; ++number)
