--- a/src/request/admission/tests/admission_tests.cpp
+++ b/src/request/admission/tests/admission_tests.cpp
@@ -50,6 +50,14 @@
     return refusal == nullptr ? "" : refusal->code;
 }
 
+auto join(const std::vector<std::string> &pieces) -> std::string
+{
+    auto text = std::string();
+    for (auto index = std::size_t(0); index < pieces.size(); ++index)
+        text += (index == 0 ? "" : "&") + pieces[index];
+    return text;
+}
+
 auto allText(const Request &request) -> std::string
 {
     auto text = request.target;
@@ -143,17 +151,12 @@
 {
     const auto word = rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab%2=+é.")));
     const auto words = *rc::gen::container<std::vector<std::string>>(word);
+    auto pieces = words;
     const auto place = *rc::gen::inRange<std::size_t>(0, words.size() + 1);
-    auto with = std::string();
-    auto without = std::string();
-    for (auto index = std::size_t(0); index <= words.size(); ++index) {
-        if (index == place)
-            with += std::string(with.empty() ? "" : "&") + "api_key=" + KEY;
-        if (index == words.size())
-            break;
-        with += (index == 0 && place != 0 ? "" : "&") + words[index];
-        without += (index == 0 ? "" : "&") + words[index];
-    }
+    pieces.insert(pieces.begin() + static_cast<std::ptrdiff_t>(place),
+                  std::string("api_key=") + KEY);
+    const auto with = join(pieces);
+    const auto without = join(words);
     auto request = Request { "GET", "/p?" + with, {}, "", "" };
     const auto credentials = takeCredentials(request);
     RC_ASSERT(credentials.keys == std::vector<std::string> { KEY });
