--- a/src/app/gateway/main.cpp
+++ b/src/app/gateway/main.cpp
@@ -141,7 +141,13 @@
     const auto processName = base::concat(node.id, "#", incarnation);
     auto usage = version::usage::makeUsageCounters(processName);
     auto dependencies = app::gateway::GatewayDependencies { context, *link,  *membership, *log,
-                                                            metrics, *usage, processName, {} };
+                                                            metrics, *usage, incarnation, {} };
+    auto policy = request::step::StepPolicy();
+    policy.hedging = settings.stepHedging;
+    dependencies.makeSteps = [&context, &log, &metrics,
+                              policy](request::execution::IRequestRunner &runner) {
+        return request::step::makeStepService(context, runner, *log, metrics, policy);
+    };
     auto gateway = Gateway(std::move(dependencies), settings);
     gateway.start();
     handler.set(&gateway);
