--- a/src/app/ctl/viewcommands.cpp
+++ b/src/app/ctl/viewcommands.cpp
@@ -14,6 +14,7 @@
 namespace json = boost::json;
 
 constexpr auto MILLISECONDS = 1000;
+constexpr auto MOST_NAMES = std::size_t(3);
 
 auto cell(const json::object &object, std::string_view field) -> std::string
 {
@@ -58,15 +59,22 @@
     return { text.data(), length };
 }
 
-//! The names of the objects that a change touched.
+//! The names of the first objects that a change touched, and how many more there are.
 auto touched(const json::object &entry) -> std::string
 {
     auto names = std::string();
     const auto *after = entry.if_contains("after");
     if (after == nullptr || !after->is_object())
         return names;
-    for (const auto &field : after->as_object())
+    const auto &objects = after->as_object();
+    auto count = std::size_t(0);
+    for (const auto &field : objects) {
+        if (count++ == MOST_NAMES)
+            break;
         names += base::concat(names.empty() ? "" : ", ", std::string_view(field.key()));
+    }
+    if (objects.size() > MOST_NAMES)
+        names += base::concat(" and ", objects.size() - MOST_NAMES, " more");
     return names;
 }
 
--- a/src/process/admin/internal/adminhandler.cpp
+++ b/src/process/admin/internal/adminhandler.cpp
@@ -169,7 +169,8 @@
 auto AdminHandler::membersResponse() const -> http::Response
 {
     const auto view = m_dependencies.membership.view();
-    return objectResponse(200, membersView(*view, process::clock::now()));
+    return objectResponse(
+        200, membersView(*view, m_dependencies.membership.self().id, process::clock::now()));
 }
 
 auto AdminHandler::serversResponse() const -> http::Response
--- a/src/process/admin/internal/adminviews.cpp
+++ b/src/process/admin/internal/adminviews.cpp
@@ -47,11 +47,16 @@
     return object;
 }
 
-auto membersView(const membership::MemberView &view, base::TimePoint now) -> json::object
+auto membersView(const membership::MemberView &view, const std::string &ownId, base::TimePoint now)
+    -> json::object
 {
     auto members = json::array();
-    for (const auto &member : view.members)
-        members.emplace_back(memberJson(member, now));
+    for (const auto &member : view.members) {
+        auto object = memberJson(member, now);
+        if (member.id == ownId)
+            object["heard_ms_ago"] = 0;
+        members.emplace_back(std::move(object));
+    }
     return { { "members", std::move(members) } };
 }
 
--- a/src/process/admin/internal/adminviews.h
+++ b/src/process/admin/internal/adminviews.h
@@ -10,7 +10,9 @@
 namespace nutmegplank::process::admin {
 
 auto stateView(const version::state::LogState &state) -> boost::json::object;
-auto membersView(const membership::MemberView &view, base::TimePoint now) -> boost::json::object;
+//! \a ownId is the member that answers; it hears itself at any time.
+auto membersView(const membership::MemberView &view, const std::string &ownId, base::TimePoint now)
+    -> boost::json::object;
 auto serversView(const inventory::ServerView &view) -> boost::json::object;
 //! Entries at or after offset \a from.
 auto auditView(const version::state::LogState &state, std::uint64_t from) -> boost::json::object;
