--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -62,7 +62,9 @@
         self.plain_settings = plain_settings or {}
         self.cheap_share = cheap_share
         self._temporary = None
-        if folder is None:
+        if folder is None and os.environ.get("NUTMEGPLANK_KEEP"):
+            folder = pathlib.Path(tempfile.mkdtemp(prefix="nutmegplank-"))
+        elif folder is None:
             self._temporary = tempfile.TemporaryDirectory(prefix="nutmegplank-")
             folder = pathlib.Path(self._temporary.name)
         self.folder = folder
@@ -146,7 +148,7 @@
             process.thaw()
             process.kill()
         self._lock.close()
-        if self._temporary is not None and not os.environ.get("NUTMEGPLANK_KEEP"):
+        if self._temporary is not None:
             self._temporary.cleanup()
 
     def start(self, program: str, name: str, settings: dict) -> Process:
