--- a/src/version/command/tests/fencedcaller_tests.cpp
+++ b/src/version/command/tests/fencedcaller_tests.cpp
@@ -106,6 +106,7 @@
         m_lease.m_lasts = lasts;
         EXPECT_EQ(call(caller, false).status().code(), absl::StatusCode::kFailedPrecondition);
     }
+    std::this_thread::sleep_for(TERM); // For bytes that were written after all to arrive.
     EXPECT_EQ(m_received, 0);
 }
 
