--- a/tests/standins/engine/engineserver.cpp
+++ b/tests/standins/engine/engineserver.cpp
@@ -1,7 +1,7 @@
 #include "engine/engineserver.h"
 
 #include "base/jsonreader.h"
-#include "connection/http/httpclient.h"
+#include "engine/jsonfields.h"
 #include "process/clock/clock.h"
 #include "standins/common/callerkeys.h"
 #include "standins/common/tokens.h"
@@ -15,32 +15,16 @@
 namespace json = boost::json;
 
 constexpr auto FREEZE_CHECK = std::chrono::milliseconds(20);
-constexpr auto STORE_TIME = std::chrono::seconds(10);
-constexpr auto STORE_PAUSE = std::chrono::milliseconds(50);
 constexpr auto NUMBER_RANGE = base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
 constexpr auto COUNT_RANGE = base::IntegerRange { 0, 1'000'000 };
 constexpr auto SLOWEST = 1000.0;
 constexpr auto STATUS_BUSY = 503U;
-constexpr auto STATUS_CONFLICT = 409U;
 constexpr auto COLD_FACTOR = 4;        //!< A cold engine is this much slower.
 constexpr auto PREFIX_CHARACTERS = 32; //!< Of a prompt whose prefix has no name.
 constexpr auto CHARACTERS_A_TOKEN = 4; //!< Of a prompt.
 constexpr auto KILLER_WORD = "CRASH";
 constexpr auto KV_PATH = std::string_view("/v1/kv/");
 
-auto numberIn(const json::object &object, std::string_view field) -> std::uint64_t
-{
-    const auto *value = object.if_contains(field);
-    auto error = json::error_code();
-    return value == nullptr ? 0 : value->to_number<std::uint64_t>(error);
-}
-
-auto textIn(const json::object &object, std::string_view field) -> std::string
-{
-    const auto *value = object.if_contains(field);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : "";
-}
-
 auto resumedAt(const json::object &body) -> std::uint32_t
 {
     const auto *resume = body.if_contains("resume");
@@ -271,66 +255,6 @@
     return base::concat("data: ", json::serialize(object), "\n\n");
 }
 
-auto EngineServer::takeOrder(const std::string &body) -> Response
-{
-    auto error = json::error_code();
-    const auto parsed = json::parse(body, error);
-    if (error || !parsed.is_object())
-        return http::jsonResponse(400, R"({"error":"no JSON"})");
-    const auto &object = parsed.get_object();
-    auto order = Order();
-    order.id = textIn(object, "order_id");
-    order.kind = textIn(object, "kind");
-    order.model = textIn(object, "model");
-    order.version = numberIn(object, "version");
-    order.source = textIn(object, "source");
-    const auto number = numberIn(object, "fencing_number");
-    auto &newest = m_fencing[order.model];
-    if (m_options.checksFencing && number < newest) {
-        ++m_refusedOrders;
-        const auto answer = json::object { { "newest", newest } };
-        return http::jsonResponse(STATUS_CONFLICT, json::serialize(answer));
-    }
-    newest = std::max(newest, number);
-    if (m_orders.insert(order.id).second && order.kind == "load_weights")
-        asio::co_spawn(m_context, carryOut(std::move(order)), asio::detached);
-    return http::jsonResponse(202, "{}");
-}
-
-auto EngineServer::carryOut(Order order) -> asio::awaitable<void>
-{
-    const auto bootId = m_life.bootId();
-    const auto read = co_await readWeights(order.source);
-    co_await pause(m_options.load);
-    co_await thawed();
-    const auto fails = m_loadsToFail > 0;
-    if (fails)
-        --m_loadsToFail;
-    if (read && !fails && bootId == m_life.bootId()) {
-        m_version = order.version;
-        co_return;
-    }
-    // A load that failed may be ordered again under the same id.
-    m_orders.erase(order.id);
-}
-
-auto EngineServer::readWeights(std::string source) -> asio::awaitable<bool>
-{
-    if (m_options.weightStore.empty())
-        co_return true;
-    const auto deadline = now() + STORE_TIME;
-    while (now() < deadline) {
-        auto request = Request();
-        request.target = "/v1/weights/" + source;
-        request.headers.push_back({ "Connection", "close" });
-        const auto answer = co_await http::fetch(m_options.weightStore, request, STORE_TIME);
-        if (answer.ok() && answer->status == 200)
-            co_return true;
-        co_await pause(STORE_PAUSE);
-    }
-    co_return false;
-}
-
 auto EngineServer::status() const -> Response
 {
     const auto status = json::object { { "boot_id", m_life.bootId() },
