--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -236,6 +236,8 @@
         if role == "controller":
             settings |= {
                 "ordering": self.seen_by_product("cloud"),
+                "ordering_checks_fencing": True,
+                "policy": {"zone_room": "none"},
                 "usage_reporting": self.seen_by_product("usage"),
                 "operators": [{"name": "demo", "sha256": hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()}],
             }
