--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -149,8 +149,10 @@
     for (auto round = std::uint64_t(0);; ++round) {
         const auto now = process::clock::now();
         cutKeys(now);
-        if (round % WATCHES_PER_REPORT == 0)
+        if (round % WATCHES_PER_REPORT == 0) {
+            m_idempotency.onMembers(*m_dependencies.membership.view());
             m_reporter.tick(now);
+        }
         co_await sleep(WATCH_PERIOD);
     }
 }
--- a/src/request/idempotency/internal/homerule.cpp
+++ b/src/request/idempotency/internal/homerule.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+//! Members are looked at now and then, and their death is noticed late.
+constexpr auto OBSERVATION_DELAY = std::chrono::seconds(30);
 constexpr auto COPIES = std::size_t(2);
 
 auto isHome(const std::vector<HomeCandidate> &homes, const std::string &id) -> bool
@@ -69,8 +71,8 @@
         seen.lastLive = now;
         ++m_liveOthers;
     }
-    std::erase_if(m_seen,
-                  [&](const auto &entry) { return now - entry.second.lastLive > m_memory; });
+    const auto kept = m_memory + OBSERVATION_DELAY;
+    std::erase_if(m_seen, [&](const auto &entry) { return now - entry.second.lastLive > kept; });
 }
 
 auto Standing::vouchesFor(const std::string &name, base::TimePoint now) const -> bool
