--- a/src/app/bench/internal/fairness.cpp
+++ b/src/app/bench/internal/fairness.cpp
@@ -41,7 +41,8 @@
     const auto due = dueAmounts(services);
     auto worst = WorstServed {};
     for (auto index = std::size_t(0); index < services.size(); ++index) {
-        const auto share = due[index] > 0 ? services[index].served / due[index] : 1;
+        const auto whenNothingRan = services[index].demand > 0 ? 0.0 : 1.0;
+        const auto share = due[index] > 0 ? services[index].served / due[index] : whenNothingRan;
         if (share < worst.share)
             worst = WorstServed { services[index].workspace, share };
     }
--- a/src/app/bench/tests/bench_tests.cpp
+++ b/src/app/bench/tests/bench_tests.cpp
@@ -52,6 +52,11 @@
     EXPECT_DOUBLE_EQ(worstServed(services).share, 0.4);
 }
 
+TEST(Bench, Fairness_NothingServedIsTheWorst)
+{
+    EXPECT_DOUBLE_EQ(worstServed({ { "a", 1, 10, 0 }, { "b", 1, 10, 0 } }).share, 0);
+}
+
 RC_GTEST_PROP(Bench, Fairness_DuesAddUpAndStayBelowDemand, ())
 {
     auto services = std::vector<WorkspaceService>();
--- a/src/load/internal/trainerclient.cpp
+++ b/src/load/internal/trainerclient.cpp
@@ -160,9 +160,7 @@
     body["wait_ms"] = PULL_WAIT.count();
     auto request =
         jsonPost(base::concat("/v1/steps/", step.id, "/pull"), m_plan.key, json::serialize(body));
-    const auto begun = process::clock::now();
     const auto result = co_await exchange(step.gateway, std::move(request), PULL_TIMEOUT);
-    m_counts.idle += process::clock::now() - begun;
     if (result.end != ExchangeEnd::Answered) {
         ++m_counts.callsRepeated;
         m_addresses->noteFailure(step.gateway, process::clock::now());
@@ -183,8 +181,10 @@
 auto TrainerClient::train(std::size_t samples) -> asio::awaitable<void>
 {
     const auto time = std::chrono::microseconds(m_plan.trainUsPerSample * samples);
-    if (time.count() > 0)
-        co_await pause(time);
+    if (time.count() == 0)
+        co_return;
+    co_await pause(time);
+    m_trained += time;
 }
 
 auto TrainerClient::close(Step &step) -> asio::awaitable<void>
@@ -235,6 +235,7 @@
             m_onStep(number);
     }
     m_counts.total = process::clock::now() - begun;
+    m_counts.idle = m_counts.total - m_trained;
     m_ended = true;
 }
 
--- a/src/load/trainerclient.h
+++ b/src/load/trainerclient.h
@@ -47,7 +47,7 @@
     std::uint64_t badAnswers = 0;    //!< Answers that broke the agreed form.
     std::uint64_t weightsPublished = 0;
     std::uint64_t weightsRefused = 0;
-    base::Duration idle {}; //!< Waited for samples with nothing to train on.
+    base::Duration idle {}; //!< All time but that of training, opening a step included.
     base::Duration total {};
 };
 
@@ -94,6 +94,7 @@
     std::shared_ptr<AddressClient> m_addresses;
     std::function<void(std::uint32_t)> m_onStep;
     TrainerCounts m_counts;
+    base::Duration m_trained {};
     std::uint64_t m_version = 0;
     bool m_ended = false;
 };
--- a/src/process/runtime/runtime.cpp
+++ b/src/process/runtime/runtime.cpp
@@ -35,7 +35,8 @@
     constexpr auto PLACEHOLDER = std::string_view("PROGRAM");
     for (auto at = tail.find(PLACEHOLDER); at != std::string::npos; at = tail.find(PLACEHOLDER))
         tail.replace(at, PLACEHOLDER.size(), program);
-    // Not "program: summary": docopt would take a program whose name ends in "usage" for its section.
+    // Not "program: summary": docopt would take a program whose name ends in "usage" for its
+    // section.
     return base::concat(std::string(program), " - ", std::string(summary), "\n", tail);
 }
 
--- a/src/request/idempotency/internal/recordstore.cpp
+++ b/src/request/idempotency/internal/recordstore.cpp
@@ -42,8 +42,7 @@
 }
 
 auto RecordStore::claim(const std::string &name, const wire::IdempotencyRequest &request,
-                        const StoreContext &context, base::TimePoint now)
-    -> wire::IdempotencyAnswer
+                        const StoreContext &context, base::TimePoint now) -> wire::IdempotencyAnswer
 {
     auto answer = wire::IdempotencyAnswer();
     const auto found = m_records.find(name);
--- a/src/request/idempotency/recordstore.h
+++ b/src/request/idempotency/recordstore.h
@@ -48,8 +48,8 @@
 
     auto claim(const std::string &name, const wire::IdempotencyRequest &request,
                const StoreContext &context, base::TimePoint now) -> wire::IdempotencyAnswer;
-    auto update(const std::string &name, const wire::IdempotencyRecord &record,
-                base::TimePoint now) -> void;
+    auto update(const std::string &name, const wire::IdempotencyRecord &record, base::TimePoint now)
+        -> void;
     auto erase(const std::string &name) -> void;
     auto dropExpired(base::TimePoint now) -> void;
 
