--- a/src/version/usage/usagewindow.h
+++ b/src/version/usage/usagewindow.h
@@ -17,7 +17,11 @@
     std::string workspace;
     std::string service;
 
-    auto operator<=>(const SeriesKey &) const = default;
+    auto operator==(const SeriesKey &other) const -> bool = default;
+    auto operator<(const SeriesKey &other) const -> bool
+    {
+        return workspace != other.workspace ? workspace < other.workspace : service < other.service;
+    }
 };
 
 //! Counted amounts.
--- a/tests/harness/demo.py
+++ b/tests/harness/demo.py
@@ -12,6 +12,7 @@
 import sys
 import time
 
+from harness import http
 from harness.cluster import Cluster, eventually
 from harness.deployment import DEPLOYMENTS, Deployment
 
@@ -73,25 +74,30 @@
     return runs
 
 
-def kill(cluster: Cluster, role: str) -> None:
-    """Kills the busiest process of a role: for gateways the one that trainers were sent to first."""
-    vm = cluster.vms - 1
-    if role == "gateway":
-        vm = busiest_gateway(cluster)
-    say(f"kill -9 {role}-{vm}")
-    cluster.processes[f"{role}-{vm}"].kill()
+#: Metric whose sum tells how much a process of a role has done.
+WORK_METRIC = {"gateway": "nutmegplank_request_seconds_count", "dispatcher": "nutmegplank_attempts_total"}
+
 
+def busiest(cluster: Cluster, role: str) -> int:
+    """The VM whose process of a role has done most; for controllers the one that holds most leases."""
+    if role == "controller":
+        leases = cluster.admin("GET", "/admin/v1/state").json()["leases"]
+        entries = leases.values() if isinstance(leases, dict) else leases
+        holders = [lease["holder"].split("#")[0] for lease in entries if lease["holder"]]
+        return int(max(set(holders), key=holders.count).rsplit("-", 1)[1])
 
-def busiest_gateway(cluster: Cluster) -> int:
-    """The gateway with most requests on its metrics page."""
-    from harness import http
+    def work(vm: int) -> float:
+        page = http.call(cluster.http_endpoint(role, vm), "GET", "/metrics").text
+        return sum(float(line.rsplit(" ", 1)[1]) for line in page.splitlines() if line.startswith(WORK_METRIC[role]))
 
-    def requests(vm: int) -> float:
-        page = http.call(cluster.http_endpoint("gateway", vm), "GET", "/metrics").text
-        lines = [line for line in page.splitlines() if line.startswith("nutmegplank_request") and "_count" in line]
-        return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
+    return max(range(cluster.vms), key=work)
 
-    return max(range(cluster.vms), key=requests)
+
+def kill(cluster: Cluster, role: str) -> None:
+    """Kills the busiest process of a role."""
+    vm = busiest(cluster, role)
+    say(f"kill -9 {role}-{vm}")
+    cluster.processes[f"{role}-{vm}"].kill()
 
 
 def run(deployment: Deployment, killed: str | None) -> dict:
--- a/tests/integration/test_loss.py
+++ b/tests/integration/test_loss.py
@@ -6,6 +6,7 @@
 from harness import http
 from harness.case import TAKEOVER_BOUND, ClusterCase
 from harness.cluster import eventually
+from harness.demo import busiest
 
 
 class Loss(ClusterCase):
@@ -24,9 +25,7 @@
         return self.start_load(trainers=trainers, **changes)
 
     def busiest(self, role):
-        from harness.demo import busiest_gateway
-
-        return busiest_gateway(self.cluster) if role == "gateway" else 0
+        return busiest(self.cluster, role)
 
     def kill_during_load(self, role, restart=True):
         load = self.load()
