Proofs that were seen to fail, and sharper tests where a planted fault passed

Not caught: freshness rule always true, cold limit fixed at 16, dispatcher blind to zones that are out. The zone test now keeps the platform from taking orders, the cold test keeps the load up. Two hundred takeovers: freezes of 0.45 s often ended before a takeover (over six minutes a run); 0.8 s lie past claim time. The first run with that showed servers missing after 30 s: holders count a lost server as capacity for list_lag (60 s by default); the stand-in's list lags 0.2 s, so the test now says 5 s.

--- a/tests/integration/test_charge.py
+++ b/tests/integration/test_charge.py
@@ -8,12 +8,12 @@
 
 TAKEOVERS = 200
 LEASE_TERM = "300ms"
-FROZEN_SECONDS = 0.45
+FROZEN_SECONDS = 0.8
 
 
 class Charge(ClusterCase):
     options = {"vms": 3, "engines": 3, "plains": 3,
-               "role_settings": {"controller": {"lease_term": LEASE_TERM, "usage_window": "1s"}}}
+               "role_settings": {"controller": {"lease_term": LEASE_TERM, "usage_window": "1s", "list_lag": "5s"}}}
 
     def leases(self):
         """Scope -> controller number, as the first controller that answers sees it."""
--- a/tests/integration/test_keys.py
+++ b/tests/integration/test_keys.py
@@ -65,9 +65,10 @@
             if name.startswith(("dispatcher", "controller", "gateway")) and name != "gateway-0":
                 process.freeze()
         self.cluster.fault("log:gateway-0", "cut")
-        eventually(lambda: self.order(f"cut-{time.monotonic_ns()}").status == 503, KEY_BOUND, what="gateway 0 stopping")
+        time.sleep(KEY_BOUND)
         answer = self.order("cut")
         self.assertEqual((answer.status, answer.json()["error"]["ran"]), (503, "not_run"), answer.text)
+        self.assertEqual(answer.json()["error"]["code"], "configuration_unconfirmed", answer.text)
         for process in self.cluster.processes.values():
             process.thaw()
         self.cluster.fault("log:gateway-0", "pass")
--- a/tests/integration/test_servers.py
+++ b/tests/integration/test_servers.py
@@ -23,16 +23,26 @@
 
     def test_cold_servers_get_no_more_than_they_bear(self):
         limit = self.deployment.engine.cold_limit
-        for round_number in range(2):
-            self.burst(60, lambda index: self.complete(f"cold-{round_number}-{index}", vm=index % 3, max_tokens=20))
-            for number in range(self.cluster.pool_counts[self.deployment.engine.name]):
-                self.cluster.control(f"{self.deployment.engine.name}-{number}", {"cold": True})
+        load = [self.in_background(lambda caller=caller: self.call_for(8, caller)) for caller in range(40)]
+        time.sleep(2)
+        for number in range(self.cluster.pool_counts[self.deployment.engine.name]):
+            self.cluster.control(f"{self.deployment.engine.name}-{number}", {"restart": True})
+        for caller in load:
+            caller.result()
         for stats in self.engine_stats():
             self.assertLessEqual(stats["max_running_cold"], limit)
-            self.assertEqual(stats["restarts"], 0)
+            self.assertEqual(stats["restarts"], 1, "restarted by the test once and by overload never")
+
+    def call_for(self, seconds, caller):
+        """Requests one after the other for some seconds; refusals are part of overload."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            self.complete(f"cold-{caller}-{time.monotonic_ns()}", vm=caller % 3, max_tokens=100)
 
     def test_zone_out_gets_no_new_work_and_comes_back(self):
         zone = self.deployment.zones[0]
+        # The platform takes no orders, so the zone's servers stay and only routing can spare them.
+        self.cluster.control("cloud", {"outage_ms": 60_000})
         self.cluster.ctl("zone", "out", zone, "--why=test")
         started = time.monotonic()
         gone = {self.cluster.http_endpoint("gateway", vm) for vm in range(self.cluster.vms)
@@ -42,6 +52,7 @@
         before = self.requests_in(zone)
         self.burst(30, lambda index: self.complete(f"out-{index}", vm=1 + index % 2))
         self.assertEqual(self.requests_in(zone), before)
+        self.cluster.control("cloud", {"outage_ms": 0})
         self.cluster.ctl("zone", "back", zone, "--why=test")
         eventually(lambda: gone <= set(self.addresses(1)), ZONE_BOUND + 5, what="addresses with the zone")
 
