--- a/scripts/tidy.py
+++ b/scripts/tidy.py
@@ -15,7 +15,8 @@
 
 BUILD = pathlib.Path(sys.argv[1])
 SOURCES = sys.argv[2:]
-CACHE = BUILD / "tidy-passed"
+# Beside the compiler's cache and not in the build folder, so that a clean checkout finds it.
+CACHE = pathlib.Path(os.environ.get("XDG_CACHE_HOME", pathlib.Path.home() / ".cache")) / "nutmegplank-tidy"
 EXTRA = ["--extra-arg=-Wno-unknown-warning-option", "--extra-arg=-Wno-ignored-optimization-argument"]
 
 
--- /dev/null
+++ b/src/app/node/batchstore.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "process/metrics/metrics.h"
+#include "version/batch/batchlog.h"
+#include "version/journal/follower.h"
+
+namespace nutmegplank::app::node {
+
+//! What the platform's log knows of a batch.
+enum class Presence {
+    Known,
+    Absent, //!< Certainly not in the log as of now.
+    Unsure, //!< The log did not answer.
+};
+
+//! The batches of all machines: reads them from the log and writes new ones, results and ends into
+//! it.
+class BatchStore
+{
+public:
+    BatchStore(boost::asio::io_context &context, version::journal::IJournal &journal,
+               std::string process, process::metrics::Registry &metrics);
+
+    auto start() -> void;
+    auto setHooks(version::batch::BatchLogHooks hooks) -> void { m_hooks = std::move(hooks); }
+
+    auto log() const -> const version::batch::BatchLog & { return m_log; }
+    auto caughtUp() const -> bool { return m_follower.caughtUp(); }
+    auto reachable() const -> bool { return m_follower.reachability().reachable(); }
+    auto position() const -> std::uint64_t { return m_follower.position(); }
+    auto forget(std::int64_t submittedBeforeMs) -> void { m_log.forget(submittedBeforeMs); }
+
+    //! Puts a batch into the log.
+    auto keep(version::batch::Submission submission)
+        -> boost::asio::awaitable<version::journal::AppendResult>;
+    //! Puts the end of a batch into the log.
+    auto end(std::string batchId) -> boost::asio::awaitable<version::journal::AppendResult>;
+    //! Whether the log holds the batch, by a read of its own if it is not known here.
+    auto look(std::string batchId) -> boost::asio::awaitable<Presence>;
+    //! Returns when something about the batch has changed, or at \a until.
+    auto waitForChange(std::string batchId, base::TimePoint until) -> boost::asio::awaitable<void>;
+    //! Returns once everything before \a offset has been read, or false at \a until.
+    auto waitForPosition(std::uint64_t offset, base::TimePoint until)
+        -> boost::asio::awaitable<bool>;
+
+private:
+    using Waiter = std::shared_ptr<boost::asio::steady_timer>;
+
+    auto wakeWaiters(const std::string &batchId) -> void;
+
+    boost::asio::io_context &m_context;
+    version::journal::IJournal &m_journal;
+    std::string m_process;
+    std::uint64_t m_attempts = 0;
+    version::batch::BatchLogHooks m_hooks;
+    version::batch::BatchLog m_log;
+    version::journal::Follower m_follower;
+    std::map<std::string, std::vector<Waiter>> m_waiters; //!< By batch.
+    process::metrics::Counter &m_accepted;
+};
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/callservice.cpp
@@ -0,0 +1,316 @@
+#include "app/node/callservice.h"
+
+#include <boost/asio.hpp>
+
+#include "base/status.h"
+#include "base/text.h"
+#include "process/clock/clock.h"
+#include "process/logging/logging.h"
+
+namespace nutmegplank::app::node {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = connection::http;
+namespace logging = process::logging;
+using request::call::CallKind;
+using request::call::Refusal;
+using request::call::RefusalCode;
+using version::journal::AppendOutcome;
+using version::routing::RouteKind;
+
+//! Longest wait of a reader for a result.
+constexpr auto LONGEST_WAIT = std::chrono::milliseconds(1000);
+//! A batch that was accepted elsewhere a moment ago is read within this.
+constexpr auto ARRIVAL_TIME = std::chrono::milliseconds(400);
+//! An append without an answer may still show up.
+constexpr auto LATE_APPEND = std::chrono::milliseconds(700);
+//! When a caller that found no free server may come back: one request's duration.
+constexpr auto SERVER_RETRY = std::chrono::milliseconds(60);
+constexpr auto STORE_RETRY = std::chrono::milliseconds(500);
+constexpr auto CONDEMNED_RETRY = std::chrono::seconds(60);
+//! Before a configuration is known; it is read within a second of the start.
+constexpr auto START_RETRY = std::chrono::milliseconds(400);
+constexpr auto STATUS_OK = 200U;
+constexpr auto FIRST_ERROR = 400U;
+
+//! Passes a streamed answer on as it arrives.
+class ResponderSink : public request::forward::IAnswerSink
+{
+public:
+    ResponderSink(http::IHttpResponder &responder, const request::call::ICallProtocol &protocol)
+        : m_responder(responder)
+        , m_protocol(protocol)
+    { }
+
+    auto begin(const http::Response &head) -> asio::awaitable<absl::Status> override
+    {
+        co_return co_await m_responder.startStream(m_protocol.returnable(head));
+    }
+    auto write(std::string data) -> asio::awaitable<absl::Status> override
+    {
+        co_return co_await m_responder.writeChunk(data);
+    }
+
+private:
+    http::IHttpResponder &m_responder;
+    const request::call::ICallProtocol &m_protocol;
+};
+
+auto refusalFor(const request::forward::ForwardResult &result) -> Refusal
+{
+    switch (result.end) {
+    case request::forward::ForwardEnd::NotRun:
+        return { RefusalCode::NoServer, result.detail, SERVER_RETRY };
+    case request::forward::ForwardEnd::Condemned:
+        return { RefusalCode::Condemned, "servers crash under this request", CONDEMNED_RETRY };
+    case request::forward::ForwardEnd::Expired:
+        return { RefusalCode::Expired, result.detail };
+    case request::forward::ForwardEnd::Answered:
+    case request::forward::ForwardEnd::Unknown:
+    case request::forward::ForwardEnd::CallerGone:
+        return { RefusalCode::Unknown, result.detail };
+    }
+    return { RefusalCode::Unknown, result.detail };
+}
+
+} // namespace
+
+CallService::CallService(CallServiceParts parts)
+    : m_parts(std::move(parts))
+    , m_answered(m_parts.metrics.counter("nutmegplank_calls_total", "Calls of callers.",
+                                         { { "outcome", "answered" } }))
+    , m_refused(m_parts.metrics.counter("nutmegplank_calls_total", "Calls of callers.",
+                                        { { "outcome", "refused" } }))
+    , m_seconds(m_parts.metrics.distribution("nutmegplank_call_seconds",
+                                             "From a call's last byte to its answer."))
+{ }
+
+auto CallService::refuse(const Exchange &exchange, Refusal refusal) const -> Answer
+{
+    logging::info("call.refused",
+                  { { "request", exchange.call.requestId },
+                    { "kind", base::nameOf(request::call::CALL_KIND_NAMES, exchange.call.kind) },
+                    { "path", exchange.call.path },
+                    { "code", base::nameOf(request::call::REFUSAL_CODE_NAMES, refusal.code) },
+                    { "detail", refusal.detail },
+                    { "retry_after_ms", base::toMilliseconds(refusal.retryAfter) },
+                    { "configuration", exchange.table == nullptr ? 0 : exchange.table->version },
+                    { "held_ms", base::toMilliseconds(process::clock::now()
+                                                      - exchange.receivedAt) } });
+    return m_parts.protocol.writeRefusal(refusal, exchange.call.requestId);
+}
+
+auto CallService::noteAnswer(const Exchange &exchange, std::uint32_t status,
+                             std::string_view outcome) const -> void
+{
+    const auto took = process::clock::now() - exchange.receivedAt;
+    m_seconds.record(took);
+    (status < FIRST_ERROR ? m_answered : m_refused).add();
+    logging::debug("call.answered", { { "request", exchange.call.requestId },
+                                      { "status", status },
+                                      { "outcome", outcome },
+                                      { "took_ms", base::toMilliseconds(took) } });
+}
+
+auto CallService::admit(Exchange &exchange, const version::routing::Route *route) const
+    -> std::optional<Refusal>
+{
+    if (exchange.table == nullptr)
+        return Refusal { RefusalCode::NotReady, "no configuration is known yet", START_RETRY };
+    const auto needsKey = exchange.table->keysNeeded && (route == nullptr || !route->open);
+    if (!needsKey)
+        return std::nullopt;
+    const auto *workspace = exchange.table->workspaceOf(exchange.call.key);
+    if (workspace == nullptr)
+        return Refusal { RefusalCode::UnknownKey, "the key is not known" };
+    exchange.workspace = workspace->name;
+    return std::nullopt;
+}
+
+auto CallService::handle(http::Request request, http::IHttpResponder &responder)
+    -> asio::awaitable<void>
+{
+    auto exchange = Exchange { m_parts.protocol.readCall(request), m_parts.routing() };
+    exchange.receivedAt = process::clock::now();
+    const version::routing::Route *route = nullptr;
+    const auto isRequest = exchange.call.kind == CallKind::Request;
+    if (exchange.table != nullptr && isRequest) {
+        route = exchange.table->findRoute(exchange.call.host, exchange.call.path);
+        if (route == nullptr) {
+            auto answer =
+                refuse(exchange, { RefusalCode::NoRoute, "no route has this host and path" });
+            co_await responder.respond(std::move(answer));
+            co_return;
+        }
+    }
+    const auto refusal = admit(exchange, route);
+    if (refusal.has_value()) {
+        auto answer = refuse(exchange, *refusal);
+        co_await responder.respond(std::move(answer));
+        co_return;
+    }
+    if (isRequest && route->kind != RouteKind::Rollout) {
+        co_await forward(exchange, std::move(request), *route, responder);
+        co_return;
+    }
+    auto answer = Answer();
+    if (isRequest)
+        answer = co_await submit(exchange, request);
+    else
+        answer = co_await batchCall(exchange);
+    noteAnswer(exchange, answer.status, "batch call");
+    co_await responder.respond(std::move(answer));
+}
+
+auto CallService::forward(Exchange exchange, http::Request request,
+                          const version::routing::Route &route, http::IHttpResponder &responder)
+    -> asio::awaitable<void>
+{
+    auto call = request::forward::ForwardCall();
+    call.requestId = exchange.call.requestId;
+    call.workspace = exchange.workspace;
+    call.route = route;
+    call.receivedAt = exchange.receivedAt;
+    auto patience = route.timeout;
+    if (exchange.call.timeLeft.count() > 0)
+        patience = std::min(patience, exchange.call.timeLeft);
+    call.deadline = exchange.receivedAt + patience;
+    call.request = m_parts.protocol.forwardable(std::move(request));
+    const auto handle = std::make_shared<request::forward::ForwardHandle>();
+    responder.onCallerGone([handle] { handle->cancel(); });
+    auto sink = ResponderSink(responder, m_parts.protocol);
+    auto result = co_await m_parts.forwarder.forward(std::move(call), handle, sink);
+    const auto name = base::nameOf(request::forward::FORWARD_END_NAMES, result.end);
+    if (result.end == request::forward::ForwardEnd::CallerGone) {
+        noteAnswer(exchange, 0, name);
+        responder.abort();
+        co_return;
+    }
+    if (result.streamed) {
+        noteAnswer(exchange, result.response.status, result.complete ? name : "cut");
+        if (result.complete)
+            co_await responder.endStream();
+        else
+            responder.abort();
+        co_return;
+    }
+    if (result.end == request::forward::ForwardEnd::Answered) {
+        noteAnswer(exchange, result.response.status, name);
+        co_await responder.respond(m_parts.protocol.returnable(std::move(result.response)));
+        co_return;
+    }
+    noteAnswer(exchange, FIRST_ERROR, name);
+    auto answer = refuse(exchange, refusalFor(result));
+    co_await responder.respond(std::move(answer));
+}
+
+auto CallService::submit(const Exchange &exchange, const http::Request &request)
+    -> asio::awaitable<Answer>
+{
+    auto submission = m_parts.protocol.readSubmission(exchange.call, request.body);
+    if (!submission.ok())
+        co_return refuse(exchange,
+                         { RefusalCode::Malformed, base::describe(submission.status()) });
+    const auto &id = exchange.call.requestId;
+    if (m_parts.batches.log().find(id) != nullptr)
+        co_return m_parts.protocol.writeAccepted(id);
+    if (!m_parts.batches.reachable())
+        co_return refuse(exchange,
+                         { RefusalCode::StoreAway, "the log does not answer", STORE_RETRY });
+    submission->workspace = exchange.workspace;
+    submission->submittedMs = m_parts.trueTime.milliseconds(exchange.receivedAt);
+    const auto result = co_await m_parts.batches.keep(std::move(*submission));
+    logging::info("batch.submitted",
+                  { { "request", id },
+                    { "outcome",
+                      base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) },
+                    { "offset", result.offset },
+                    { "detail", result.detail },
+                    { "took_ms",
+                      base::toMilliseconds(process::clock::now() - exchange.receivedAt) } });
+    if (result.outcome == AppendOutcome::Done)
+        co_return m_parts.protocol.writeAccepted(id);
+    if (result.outcome == AppendOutcome::NotDone)
+        co_return refuse(exchange, { RefusalCode::StoreAway, result.detail, STORE_RETRY });
+    // Perhaps kept: only the log can tell, and nothing may be promised before it does.
+    const auto until = process::clock::now() + LATE_APPEND;
+    while (m_parts.batches.log().find(id) == nullptr && process::clock::now() < until)
+        co_await m_parts.batches.waitForChange(id, until);
+    if (m_parts.batches.log().find(id) != nullptr)
+        co_return m_parts.protocol.writeAccepted(id);
+    co_return refuse(exchange, { RefusalCode::Unknown, result.detail });
+}
+
+auto CallService::batchCall(const Exchange &exchange) -> asio::awaitable<Answer>
+{
+    const auto &id = exchange.call.batchId;
+    if (m_parts.batches.log().find(id) == nullptr)
+        co_await m_parts.batches.waitForChange(id, process::clock::now() + ARRIVAL_TIME);
+    const auto presence = co_await m_parts.batches.look(id);
+    if (presence == Presence::Unsure)
+        co_return refuse(exchange, { RefusalCode::Unsure, "the log does not answer", STORE_RETRY });
+    const auto *batch = m_parts.batches.log().find(id);
+    if (batch == nullptr || batch->submission.workspace != exchange.workspace)
+        co_return refuse(exchange, { RefusalCode::NoBatch, "no such batch" });
+    switch (exchange.call.kind) {
+    case CallKind::ReadBody:
+        co_return readBody(exchange, *batch);
+    case CallKind::EndBatch:
+        co_return co_await endBatch(exchange);
+    case CallKind::ReadResults:
+    case CallKind::Request:
+        break;
+    }
+    co_return co_await readResults(exchange);
+}
+
+auto CallService::readResults(const Exchange &exchange) -> asio::awaitable<Answer>
+{
+    const auto &call = exchange.call;
+    const auto until = exchange.receivedAt + std::min<base::Duration>(call.wait, LONGEST_WAIT);
+    while (true) {
+        const auto *batch = m_parts.batches.log().find(call.batchId);
+        if (batch == nullptr)
+            co_return refuse(exchange, { RefusalCode::Unsure, "the batch was dropped" });
+        if (batch->results.size() > call.position || process::clock::now() >= until)
+            co_return m_parts.protocol.writeResults(*batch, call.position);
+        co_await m_parts.batches.waitForChange(call.batchId, until);
+    }
+}
+
+auto CallService::readBody(const Exchange &exchange, const version::batch::Batch &batch) const
+    -> Answer
+{
+    const auto &items = batch.submission.items;
+    for (auto index = std::size_t(0); index < items.size(); ++index) {
+        if (items[index].id != exchange.call.itemId)
+            continue;
+        if (batch.listed[index] || batch.ended)
+            break;
+        auto answer = Answer { STATUS_OK, {}, items[index].body };
+        answer.headers.push_back({ "Content-Type", "application/octet-stream" });
+        return answer;
+    }
+    return refuse(exchange, { RefusalCode::NoBatch, "the item is unknown, listed or ended" });
+}
+
+auto CallService::endBatch(const Exchange &exchange) -> asio::awaitable<Answer>
+{
+    const auto &id = exchange.call.batchId;
+    if (m_parts.batches.log().find(id)->ended)
+        co_return http::jsonResponse(STATUS_OK, "{}");
+    const auto result = co_await m_parts.batches.end(id);
+    logging::info("batch.end_requested",
+                  { { "batch", id },
+                    { "outcome",
+                      base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) } });
+    if (result.outcome == AppendOutcome::Done)
+        co_return http::jsonResponse(STATUS_OK, "{}");
+    if (result.outcome == AppendOutcome::NotDone)
+        co_return refuse(exchange, { RefusalCode::StoreAway, result.detail, STORE_RETRY });
+    co_return refuse(exchange, { RefusalCode::Unknown, result.detail });
+}
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/callservice.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "app/node/batchstore.h"
+#include "connection/http/ihttpresponder.h"
+#include "process/clock/truetime.h"
+#include "process/metrics/metrics.h"
+#include "request/call/call.h"
+#include "request/forward/forwarder.h"
+#include "version/routing/routingtable.h"
+
+namespace nutmegplank::app::node {
+
+//! What the service works with; all of it outlives the service.
+struct CallServiceParts
+{
+    boost::asio::io_context &context;
+    const request::call::ICallProtocol &protocol;
+    request::forward::Forwarder &forwarder;
+    BatchStore &batches;
+    process::clock::TrueTime &trueTime;
+    process::metrics::Registry &metrics;
+    std::function<version::routing::RoutingTablePtr()> routing;
+};
+
+//! Answers callers.
+class CallService
+{
+public:
+    explicit CallService(CallServiceParts parts);
+
+    auto handle(connection::http::Request request, connection::http::IHttpResponder &responder)
+        -> boost::asio::awaitable<void>;
+
+private:
+    //! One call with what was found out about it.
+    struct Exchange
+    {
+        request::call::Call call;
+        version::routing::RoutingTablePtr table;
+        std::string workspace;
+        base::TimePoint receivedAt {};
+    };
+
+    using Answer = connection::http::Response;
+
+    auto admit(Exchange &exchange, const version::routing::Route *route) const
+        -> std::optional<request::call::Refusal>;
+    auto forward(Exchange exchange, connection::http::Request request,
+                 const version::routing::Route &route, connection::http::IHttpResponder &responder)
+        -> boost::asio::awaitable<void>;
+    auto submit(const Exchange &exchange, const connection::http::Request &request)
+        -> boost::asio::awaitable<Answer>;
+    auto batchCall(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
+    auto readResults(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
+    auto readBody(const Exchange &exchange, const version::batch::Batch &batch) const -> Answer;
+    auto endBatch(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
+    auto refuse(const Exchange &exchange, request::call::Refusal refusal) const -> Answer;
+    auto noteAnswer(const Exchange &exchange, std::uint32_t status, std::string_view outcome) const
+        -> void;
+
+    CallServiceParts m_parts;
+    process::metrics::Counter &m_answered;
+    process::metrics::Counter &m_refused;
+    process::metrics::Distribution &m_seconds;
+};
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/conductor.cpp
@@ -0,0 +1,409 @@
+#include "app/node/conductor.h"
+
+#include <boost/asio.hpp>
+
+#include "app/node/partitions.h"
+#include "process/clock/clock.h"
+#include "process/logging/logging.h"
+
+namespace nutmegplank::app::node {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace journal = version::journal;
+namespace logging = process::logging;
+using process::capacity::DutyOutcome;
+using version::batch::Batch;
+
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+constexpr auto LONG_POLL = std::chrono::milliseconds(1000);
+constexpr auto METER_READ = std::chrono::milliseconds(700);
+constexpr auto LEASE_CHECK = std::chrono::milliseconds(100);
+constexpr auto APPEND_TIME = std::chrono::milliseconds(900);
+constexpr auto METER_EVERY = std::chrono::milliseconds(1000);
+//! A window is closed this long after its end: all machines have written their counts by then, also
+//! after one lost append, and five seconds remain until it is due.
+constexpr auto CLOSE_AFTER = std::chrono::milliseconds(3000);
+constexpr auto USAGE_CHECK = std::chrono::milliseconds(400);
+constexpr auto CAPACITY_CHECK = std::chrono::milliseconds(500);
+//! Windows that ended longer ago are not reported any more.
+constexpr auto REPORT_WITHIN = std::chrono::seconds(20);
+constexpr auto EPOCH_RETRY = std::chrono::milliseconds(100);
+constexpr auto CATCH_UP_TIME = std::chrono::seconds(3);
+
+auto pauseFor(base::Duration duration) -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(USE_TUPLE);
+}
+
+} // namespace
+
+Conductor::Conductor(ConductorParts parts)
+    : m_parts(std::move(parts))
+    , m_leadership(m_parts.process, {})
+    , m_leaseFollower(m_parts.context, m_parts.journal,
+                      { partitionFor(PartitionUse::Lease), LONG_POLL },
+                      { [this](const journal::Record &record, base::TimePoint now) {
+                           m_leadership.apply(record, now);
+                           followLease();
+                       },
+                        {},
+                        {} })
+    , m_localMeter(m_parts.process, m_parts.settings.usageWindow)
+    , m_meterFollower(m_parts.context, m_parts.journal,
+                      { partitionFor(PartitionUse::Meter), base::Duration(0), METER_READ },
+                      { [this](const journal::Record &record, base::TimePoint) {
+                           m_meterLog.apply(record);
+                       },
+                        {},
+                        {} })
+    , m_results(m_parts.context, m_parts.journal, m_parts.metrics,
+                [this] { deactivate("another process writes results"); })
+    , m_executor(executorParts())
+    , m_waves(m_parts.context, m_parts.engineControl, waveHooks(), m_parts.metrics)
+    , m_inCharge(m_parts.metrics.gauge("nutmegplank_in_charge",
+                                       "1 while this process holds the lease."))
+    , m_windows(m_parts.metrics.counter("nutmegplank_usage_windows_total",
+                                        "Usage windows reported."))
+{
+    m_parts.batches.setHooks({ [this](const Batch &batch) { m_executor.addBatch(batch); },
+                               [this](const Batch &batch) {
+                                   if (!batch.open())
+                                       m_executor.endBatch(batch.submission.id);
+                               },
+                               [this](const Batch &batch) {
+                                   m_executor.endBatch(batch.submission.id);
+                               } });
+}
+
+auto Conductor::executorParts() -> request::rollout::ExecutorParts
+{
+    return { m_parts.context,
+             m_parts.servers,
+             m_parts.health,
+             m_parts.pools,
+             m_parts.engines,
+             m_parts.protocol,
+             m_parts.metrics,
+             m_parts.routing,
+             [] { return process::clock::now(); },
+             [this] { return m_parts.trueTime.milliseconds(process::clock::now()); },
+             [this](const std::string &batch, version::batch::Result result) {
+                 m_results.add(batch, std::move(result));
+             } };
+}
+
+auto Conductor::orderFence(base::TimePoint now) const -> std::optional<std::uint64_t>
+{
+    const auto fence = m_leadership.fence(now);
+    if (!fence.has_value() || m_activeFence != *fence || *fence <= m_refusedFence)
+        return std::nullopt;
+    return fence;
+}
+
+auto Conductor::waveHooks() -> version::waves::WaveRunnerHooks
+{
+    auto hooks = version::waves::WaveRunnerHooks();
+    hooks.now = [] { return process::clock::now(); };
+    hooks.fence = [this](base::TimePoint now) { return orderFence(now); };
+    hooks.engines = [this] { return orderableEngines(); };
+    hooks.named = [this] { return m_parts.namedVersions(); };
+    hooks.needed = [this](const std::string &model) { return m_executor.neededVersion(model); };
+    hooks.demand = [this] { return m_executor.demand(); };
+    hooks.strategy = [this](const std::string &service) {
+        const auto table = m_parts.routing();
+        const auto single = table != nullptr
+            && std::ranges::any_of(table->routes, [&](const version::routing::Route &route) {
+                   return route.singleVersion && route.services.front().service == service;
+               });
+        return single ? version::waves::LoadStrategy::Finish
+                      : version::waves::LoadStrategy::Retain;
+    };
+    hooks.onVersion = [this](const version::waves::OrderableEngine &engine,
+                             const std::string &model, std::uint64_t version) {
+        m_parts.engines.noteVersion(engine.id, engine.incarnation, model, version);
+        m_executor.wake();
+    };
+    hooks.onLoading = [this](const std::string &engine, bool loading) {
+        m_parts.engines.setLoading(engine, loading);
+        m_executor.wake();
+    };
+    return hooks;
+}
+
+auto Conductor::orderableEngines() const -> std::vector<version::waves::OrderableEngine>
+{
+    auto engines = std::vector<version::waves::OrderableEngine>();
+    const auto table = m_parts.routing();
+    if (table == nullptr)
+        return engines;
+    const auto now = process::clock::now();
+    for (const auto &[id, server] : m_parts.servers.all()) {
+        const auto *service = table->findService(server.record.service);
+        if (service == nullptr || !service->engine.has_value() || !m_parts.servers.usable(server))
+            continue;
+        auto engine = version::waves::OrderableEngine { id, server.record.endpoint,
+                                                        server.record.service,
+                                                        server.record.incarnation };
+        for (const auto &[model, version] : server.record.modelVersion)
+            engine.versions[model] = std::max(
+                version, m_parts.engines.version(id, server.record.incarnation, model));
+        engine.sequence = server.record.orderSequence;
+        engine.running = m_executor.runningAt(id);
+        engine.reachable = !m_parts.health.paused(id, now);
+        engines.push_back(std::move(engine));
+    }
+    return engines;
+}
+
+auto Conductor::start() -> void
+{
+    m_leaseFollower.start();
+    m_meterFollower.start();
+    m_waves.start();
+    asio::co_spawn(m_parts.context, leaseLoop(), asio::detached);
+    asio::co_spawn(m_parts.context, meterLoop(), asio::detached);
+    asio::co_spawn(m_parts.context, usageLoop(), asio::detached);
+    asio::co_spawn(m_parts.context, capacityLoop(), asio::detached);
+}
+
+auto Conductor::countRun(const std::string &workspace) -> void
+{
+    m_localMeter.count(workspace, m_parts.trueTime.milliseconds(process::clock::now()));
+}
+
+auto Conductor::leaseLoop() -> asio::awaitable<void>
+{
+    while (!m_leaving) {
+        co_await stepLease(process::clock::now());
+        co_await pauseFor(LEASE_CHECK);
+    }
+}
+
+auto Conductor::stepLease(base::TimePoint now) -> asio::awaitable<void>
+{
+    m_inCharge.set(m_leadership.fence(now).has_value() ? 1 : 0);
+    if (m_sendingLease || !m_leaseFollower.caughtUp())
+        co_return;
+    // Who has not read all batches, or no configuration, would only hold up the others.
+    const auto mayClaim = m_parts.batches.caughtUp() && m_parts.batches.reachable()
+        && m_parts.routing() != nullptr;
+    auto action =
+        m_leadership.next(now, m_leaseFollower.reachability().answeredAt(), mayClaim);
+    if (!action.has_value())
+        co_return;
+    m_sendingLease = true;
+    asio::co_spawn(m_parts.context, sendLease(std::move(*action)), asio::detached);
+}
+
+auto Conductor::sendLease(version::leadership::LeaseAction action) -> asio::awaitable<void>
+{
+    auto records = std::vector<std::string> { action.record.SerializeAsString() };
+    auto condition = journal::AppendCondition();
+    condition.at = action.at;
+    const auto result = co_await m_parts.journal.append(
+        partitionFor(PartitionUse::Lease), std::move(records), condition, APPEND_TIME);
+    m_sendingLease = false;
+    if (result.outcome != journal::AppendOutcome::Done
+        && result.outcome != journal::AppendOutcome::Conflict)
+        logging::warning("lease.append_failed",
+                         { { "kind", record::LeaseRecordKind_Name(action.record.kind()) },
+                           { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
+                                                     result.outcome) },
+                           { "detail", result.detail } });
+}
+
+auto Conductor::followLease() -> void
+{
+    const auto fence = m_leadership.uncontestedFence();
+    if (!fence.has_value() || *fence != m_activeFence)
+        deactivate("another process holds the lease");
+    if (!fence.has_value() || *fence == m_activeFence || m_activating || m_leaving)
+        return;
+    m_activating = true;
+    asio::co_spawn(m_parts.context, activate(*fence), asio::detached);
+}
+
+auto Conductor::activate(std::uint64_t fence) -> asio::awaitable<void>
+{
+    auto end = std::optional<std::uint64_t>();
+    while (m_leadership.uncontestedFence() == fence && !m_leaving) {
+        end = co_await m_results.begin(fence);
+        if (end.has_value()) {
+            const auto until = process::clock::now() + CATCH_UP_TIME;
+            const auto reached = co_await m_parts.batches.waitForPosition(*end, until);
+            if (reached)
+                break;
+        }
+        end.reset();
+        co_await pauseFor(EPOCH_RETRY);
+    }
+    m_activating = false;
+    if (!end.has_value() || m_leadership.uncontestedFence() != fence || m_leaving)
+        co_return;
+    m_activeFence = fence;
+    logging::info("conductor.active", { { "fence", fence }, { "log_end", *end } });
+    m_executor.start();
+    for (const auto &[id, batch] : m_parts.batches.log().all())
+        m_executor.addBatch(*batch);
+}
+
+auto Conductor::deactivate(std::string_view reason) -> void
+{
+    if (m_activeFence == 0)
+        return;
+    logging::info("conductor.passive", { { "fence", m_activeFence }, { "reason", reason } });
+    m_activeFence = 0;
+    m_executor.stop(reason);
+    m_results.stop();
+}
+
+auto Conductor::leave() -> asio::awaitable<void>
+{
+    m_leaving = true;
+    const auto action = m_leadership.release();
+    deactivate("this process is leaving");
+    if (action.has_value())
+        co_await sendLease(*action);
+}
+
+auto Conductor::meterLoop() -> asio::awaitable<void>
+{
+    while (true) {
+        co_await pauseFor(METER_EVERY);
+        const auto changed = m_localMeter.takeChanged();
+        if (changed.empty())
+            continue;
+        auto records = std::vector<std::string>();
+        for (const auto &record : changed)
+            records.push_back(record.SerializeAsString());
+        const auto result = co_await m_parts.journal.appendAlways(
+            partitionFor(PartitionUse::Meter), std::move(records), APPEND_TIME);
+        if (result.outcome != journal::AppendOutcome::Done)
+            m_localMeter.giveBack(changed);
+    }
+}
+
+auto Conductor::usageLoop() -> asio::awaitable<void>
+{
+    while (true) {
+        co_await pauseFor(USAGE_CHECK);
+        const auto fence = orderFence(process::clock::now());
+        if (!fence.has_value() || !m_meterFollower.caughtUp())
+            continue;
+        co_await closeWindows(*fence);
+        co_await reportWindows();
+    }
+}
+
+auto Conductor::closeWindows(std::uint64_t fence) -> asio::awaitable<void>
+{
+    const auto trueMs = m_parts.trueTime.milliseconds(process::clock::now());
+    const auto current = m_localMeter.windowOf(trueMs);
+    const auto newest = m_meterLog.newestClosed();
+    auto next = newest.has_value() ? *newest + 1
+                                   : std::min(current, m_meterLog.oldestCounted().value_or(current));
+    for (; m_localMeter.windowEndMs(next) + base::toMilliseconds(CLOSE_AFTER) <= trueMs; ++next) {
+        auto records = std::vector<std::string> { version::metering::encodeClosed(
+            { next, m_meterLog.sum(next) }) };
+        const auto result = co_await m_parts.journal.appendAlways(
+            partitionFor(PartitionUse::Meter), std::move(records), APPEND_TIME);
+        logging::info("usage.window_closed",
+                      { { "window", next },
+                        { "fence", fence },
+                        { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
+                                                  result.outcome) } });
+        if (result.outcome != journal::AppendOutcome::Done)
+            co_return;
+    }
+}
+
+auto Conductor::reportWindows() -> asio::awaitable<void>
+{
+    const auto trueMs = m_parts.trueTime.milliseconds(process::clock::now());
+    const auto newest = m_meterLog.newestClosed();
+    if (!newest.has_value())
+        co_return;
+    const auto oldest =
+        m_localMeter.windowOf(trueMs - base::toMilliseconds(base::Duration(REPORT_WITHIN)));
+    for (auto window = oldest; window <= *newest; ++window) {
+        const auto closed = m_meterLog.closed(window);
+        const auto fence = orderFence(process::clock::now());
+        if (!closed.has_value() || !fence.has_value() || m_reported.contains(window))
+            continue;
+        const auto outcome = co_await m_parts.duties.reportUsage(*closed, *fence);
+        auto total = std::uint64_t(0);
+        for (const auto &[workspace, requests] : closed->counts)
+            total += requests;
+        logging::info("usage.reported",
+                      { { "window", window },
+                        { "fence", *fence },
+                        { "requests", total },
+                        { "outcome", base::nameOf(process::capacity::DUTY_OUTCOME_NAMES,
+                                                  outcome) } });
+        if (outcome == DutyOutcome::Accepted || outcome == DutyOutcome::Rejected) {
+            m_reported.insert(window);
+            m_windows.add();
+        }
+        if (outcome == DutyOutcome::Conflict)
+            m_refusedFence = std::max(m_refusedFence, *fence);
+        if (outcome != DutyOutcome::Accepted)
+            co_return;
+    }
+}
+
+auto Conductor::capacityInput(const version::routing::Service &service, base::TimePoint now) const
+    -> process::capacity::CapacityInput
+{
+    auto input = process::capacity::CapacityInput();
+    input.service = service.name;
+    input.least = service.scaling->least;
+    input.most = service.scaling->most;
+    input.startup = service.scaling->startup;
+    input.now = now;
+    auto ready = std::map<std::string, std::uint32_t>();
+    for (const auto &[id, server] : m_parts.servers.all()) {
+        if (server.record.service == service.name && m_parts.servers.usable(server))
+            ++ready[server.record.zone];
+    }
+    for (const auto &[zone, price] : service.scaling->zonePrices) {
+        if (!m_parts.servers.zonesOut().contains(zone))
+            input.zones.push_back({ zone, ready[zone], price });
+    }
+    return input;
+}
+
+auto Conductor::capacityLoop() -> asio::awaitable<void>
+{
+    while (true) {
+        co_await pauseFor(CAPACITY_CHECK);
+        const auto table = m_parts.routing();
+        if (table == nullptr || m_parts.settings.cloudEndpoint.empty())
+            continue;
+        for (const auto &[name, service] : table->services) {
+            const auto now = process::clock::now();
+            const auto fence = orderFence(now);
+            if (!fence.has_value() || !service.scaling.has_value())
+                continue;
+            const auto order = m_capacity.decide(capacityInput(service, now));
+            if (!order.has_value())
+                continue;
+            const auto outcome = co_await m_parts.duties.orderServers(*order, *fence);
+            logging::info("capacity.order",
+                          { { "service", name },
+                            { "zone", order->zone },
+                            { "count", order->count },
+                            { "fence", *fence },
+                            { "outcome", base::nameOf(process::capacity::DUTY_OUTCOME_NAMES,
+                                                      outcome) } });
+            if (outcome == DutyOutcome::Accepted)
+                m_capacity.taken(*order, process::clock::now());
+            else
+                m_capacity.refused(*order, process::clock::now());
+        }
+    }
+}
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/conductor.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include <boost/asio/io_context.hpp>
+
+#include "app/node/batchstore.h"
+#include "app/node/resultwriter.h"
+#include "process/capacity/iplatformduties.h"
+#include "process/clock/truetime.h"
+#include "process/settings/machinesettings.h"
+#include "request/rollout/rolloutexecutor.h"
+#include "version/leadership/leadership.h"
+#include "version/metering/windowmeter.h"
+#include "version/waves/waverunner.h"
+
+namespace nutmegplank::app::node {
+
+//! What the conductor works with; all of it outlives the conductor.
+struct ConductorParts
+{
+    boost::asio::io_context &context;
+    version::journal::IJournal &journal;
+    BatchStore &batches;
+    process::servers::ServerTable &servers;
+    process::health::ServerHealth &health;
+    request::rollout::EngineStates &engines;
+    connection::backend::BackendPools &pools;
+    const request::serverprotocol::IServerProtocol &protocol;
+    version::waves::IEngineControl &engineControl;
+    process::capacity::IPlatformDuties &duties;
+    process::clock::TrueTime &trueTime;
+    process::metrics::Registry &metrics;
+    const process::settings::MachineSettings &settings;
+    std::string process; //!< Unique name of this incarnation.
+    std::function<version::routing::RoutingTablePtr()> routing;
+    std::function<std::map<std::string, std::uint64_t>()> namedVersions;
+};
+
+//! Everything that one machine at a time does: runs batches, orders weights and servers, reports
+//! usage. All machines take part in the lease; one of them holds it.
+class Conductor
+{
+public:
+    explicit Conductor(ConductorParts parts);
+
+    auto start() -> void;
+    //! A request of \a workspace has begun to run.
+    auto countRun(const std::string &workspace) -> void;
+    //! Hands the lease back and ends what this machine runs for others.
+    auto leave() -> boost::asio::awaitable<void>;
+    auto inCharge() const -> bool { return m_executor.active(); }
+    //! Servers, versions or routes have changed.
+    auto wake() -> void { m_executor.wake(); }
+
+private:
+    auto leaseLoop() -> boost::asio::awaitable<void>;
+    auto stepLease(base::TimePoint now) -> boost::asio::awaitable<void>;
+    auto sendLease(version::leadership::LeaseAction action) -> boost::asio::awaitable<void>;
+    auto followLease() -> void;
+    auto activate(std::uint64_t fence) -> boost::asio::awaitable<void>;
+    auto deactivate(std::string_view reason) -> void;
+    auto meterLoop() -> boost::asio::awaitable<void>;
+    auto usageLoop() -> boost::asio::awaitable<void>;
+    auto closeWindows(std::uint64_t fence) -> boost::asio::awaitable<void>;
+    auto reportWindows() -> boost::asio::awaitable<void>;
+    auto capacityLoop() -> boost::asio::awaitable<void>;
+    auto capacityInput(const version::routing::Service &service, base::TimePoint now) const
+        -> process::capacity::CapacityInput;
+    auto waveHooks() -> version::waves::WaveRunnerHooks;
+    auto orderableEngines() const -> std::vector<version::waves::OrderableEngine>;
+    auto executorParts() -> request::rollout::ExecutorParts;
+    auto orderFence(base::TimePoint now) const -> std::optional<std::uint64_t>;
+
+    ConductorParts m_parts;
+    version::leadership::Leadership m_leadership;
+    version::journal::Follower m_leaseFollower;
+    version::metering::LocalMeter m_localMeter;
+    version::metering::MeterLog m_meterLog;
+    version::journal::Follower m_meterFollower;
+    ResultWriter m_results;
+    request::rollout::RolloutExecutor m_executor;
+    version::waves::WaveRunner m_waves;
+    process::capacity::CapacityPlanner m_capacity;
+    std::set<std::uint64_t> m_reported; //!< Windows that the platform took from this process.
+    std::uint64_t m_activeFence = 0;
+    std::uint64_t m_refusedFence = 0; //!< The platform has seen a higher one.
+    bool m_activating = false;
+    bool m_sendingLease = false;
+    bool m_leaving = false;
+    process::metrics::Gauge &m_inCharge;
+    process::metrics::Counter &m_windows;
+};
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/membership.cpp
@@ -0,0 +1,144 @@
+#include "app/node/membership.h"
+
+#include <boost/asio.hpp>
+
+#include "app/node/partitions.h"
+#include "base/hash.h"
+#include "base/text.h"
+#include "process/clock/clock.h"
+#include "process/logging/logging.h"
+
+namespace nutmegplank::app::node {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace journal = version::journal;
+
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+//! Members' heartbeats are read this often; a long poll would wake each machine for each other one.
+constexpr auto READ_PAUSE = std::chrono::milliseconds(450);
+constexpr auto APPEND_TIME = std::chrono::milliseconds(800);
+//! A heartbeat read from a snapshot counts as older than this when its time can't be told.
+constexpr auto SNAPSHOT_AGE_LIMIT = std::chrono::seconds(60);
+
+} // namespace
+
+Membership::Membership(asio::io_context &context, journal::IJournal &store,
+                       const process::settings::MachineSettings &settings, std::string incarnation,
+                       process::clock::TrueTime &trueTime, request::forward::Suspects &suspects)
+    : m_context(context)
+    , m_journal(store)
+    , m_settings(settings)
+    , m_incarnation(std::move(incarnation))
+    , m_trueTime(trueTime)
+    , m_suspects(suspects)
+    , m_members(m_times)
+    , m_follower(context, store, { { MEMBER_TOPIC, 0 }, base::Duration(0), READ_PAUSE },
+                 { [this](const journal::KeyedRecord &record, base::TimePoint now) {
+                      hear(record, now);
+                  },
+                   [](const std::set<std::string> &, base::TimePoint) {} })
+    , m_timer(context)
+{ }
+
+auto Membership::start() -> void
+{
+    m_follower.start();
+    asio::co_spawn(m_context, heartbeatLoop(), asio::detached);
+}
+
+auto Membership::setServing(bool serving) -> void
+{
+    if (m_serving == serving)
+        return;
+    m_serving = serving;
+    m_timer.cancel();
+}
+
+auto Membership::encodeHeartbeat(base::TimePoint now) const -> std::string
+{
+    auto record = record::MemberRecord();
+    record.set_node(m_settings.node);
+    record.set_incarnation(m_incarnation);
+    record.set_address(m_settings.callerEndpoint);
+    record.set_zone(m_settings.zone);
+    record.set_serving(m_serving);
+    record.set_true_ms(m_trueTime.milliseconds(now));
+    for (const auto &suspicion : m_suspects.own()) {
+        auto &added = *record.add_suspicions();
+        added.set_fingerprint(suspicion.fingerprint);
+        added.set_crashes(suspicion.crashes);
+    }
+    auto data = std::string(1, static_cast<char>(m_settings.node.size()));
+    data += m_settings.node;
+    data += record.SerializeAsString();
+    return data;
+}
+
+auto Membership::heartbeatLoop() -> asio::awaitable<void>
+{
+    while (true) {
+        auto records = std::vector<std::string> { encodeHeartbeat(process::clock::now()) };
+        const auto partition = journal::Partition { MEMBER_TOPIC, 0 };
+        co_await m_journal.appendAlways(partition, std::move(records), APPEND_TIME);
+        m_timer.expires_after(m_times.heartbeatEvery);
+        co_await m_timer.async_wait(USE_TUPLE);
+    }
+}
+
+auto Membership::hear(const journal::KeyedRecord &keyed, base::TimePoint now) -> void
+{
+    auto record = record::MemberRecord();
+    if (!record.ParseFromString(keyed.value)) {
+        process::logging::error("member.malformed_record",
+                                { { "key", keyed.key }, { "offset", keyed.offset } });
+        return;
+    }
+    const auto fresh = m_follower.complete();
+    auto age = base::Duration(0);
+    if (!fresh) {
+        const auto told = std::chrono::milliseconds(m_trueTime.milliseconds(now)
+                                                    - record.true_ms());
+        age = std::clamp<base::Duration>(told, base::Duration(0), SNAPSHOT_AGE_LIMIT);
+    }
+    m_members.hear(record, age, now);
+    if (record.node() == m_settings.node)
+        return;
+    if (fresh)
+        m_trueTime.hear(record.node(), record.true_ms(), now);
+    for (const auto &suspicion : record.suspicions())
+        m_suspects.learn(record.node(), { suspicion.fingerprint(), suspicion.crashes() }, now);
+}
+
+auto Membership::living(base::TimePoint now) const -> std::vector<process::members::Member>
+{
+    const auto &reachability = m_follower.reachability();
+    return m_members.serving(reachability.answeredAt(), reachability.regainedAt(), now);
+}
+
+auto Membership::addresses(const std::string &zone, std::size_t most, base::TimePoint now) const
+    -> std::vector<std::string>
+{
+    auto members = living(now);
+    std::erase_if(members, [this](const auto &member) { return member.node == m_settings.node; });
+    // Callers of one zone get the same order, so that a short list spreads over all zones' machines.
+    std::ranges::sort(members, {}, [&](const process::members::Member &member) {
+        return std::pair(member.zone != zone, base::hash64(base::concat(zone, "/", member.node)));
+    });
+    auto addresses = std::vector<std::string>();
+    if (m_serving)
+        addresses.push_back(m_settings.callerEndpoint);
+    for (const auto &member : members) {
+        if (addresses.size() < most)
+            addresses.push_back(member.address);
+    }
+    return addresses;
+}
+
+auto Membership::memberCount(base::TimePoint now) const -> std::size_t
+{
+    return std::max<std::size_t>(1, living(now).size());
+}
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/membership.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "process/clock/truetime.h"
+#include "process/members/memberlist.h"
+#include "process/settings/machinesettings.h"
+#include "request/forward/suspects.h"
+#include "version/journal/follower.h"
+
+namespace nutmegplank::app::node {
+
+//! Tells the other machines that this one lives, and knows which of them do.
+class Membership
+{
+public:
+    Membership(boost::asio::io_context &context, version::journal::IJournal &journal,
+               const process::settings::MachineSettings &settings, std::string incarnation,
+               process::clock::TrueTime &trueTime, request::forward::Suspects &suspects);
+
+    auto start() -> void;
+    //! Whether callers may be sent here; told to the others at once when it changes.
+    auto setServing(bool serving) -> void;
+    //! Addresses that callers may use now, at most \a most, those in \a zone first.
+    auto addresses(const std::string &zone, std::size_t most, base::TimePoint now) const
+        -> std::vector<std::string>;
+    auto memberCount(base::TimePoint now) const -> std::size_t;
+
+private:
+    auto heartbeatLoop() -> boost::asio::awaitable<void>;
+    auto hear(const version::journal::KeyedRecord &record, base::TimePoint now) -> void;
+    auto encodeHeartbeat(base::TimePoint now) const -> std::string;
+    auto living(base::TimePoint now) const -> std::vector<process::members::Member>;
+
+    boost::asio::io_context &m_context;
+    version::journal::IJournal &m_journal;
+    const process::settings::MachineSettings &m_settings;
+    std::string m_incarnation;
+    process::clock::TrueTime &m_trueTime;
+    request::forward::Suspects &m_suspects;
+    process::members::MemberTimes m_times;
+    process::members::MemberList m_members;
+    version::journal::KeyedFollower m_follower;
+    boost::asio::steady_timer m_timer;
+    bool m_serving = false;
+};
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/node.cpp
@@ -0,0 +1,328 @@
+#include "app/node/node.h"
+
+#include <boost/asio.hpp>
+
+#include "base/hash.h"
+#include "base/status.h"
+#include "base/text.h"
+#include "platform/directory.h"
+#include "platform/operatorrecords.h"
+#include "platform/serverrecords.h"
+#include "process/clock/clock.h"
+#include "process/logging/logging.h"
+
+namespace nutmegplank::app::node {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = connection::http;
+namespace journal = version::journal;
+namespace logging = process::logging;
+
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+constexpr auto LONG_POLL = std::chrono::milliseconds(1000);
+//! Backend servers write every 1.2 s, each of them: a long poll would never rest. A server that
+//! leaves must get nothing more 2 s after it said so.
+constexpr auto SERVER_READ_PAUSE = std::chrono::milliseconds(400);
+constexpr auto HOUSEKEEPING = std::chrono::milliseconds(100);
+//! Callers keep the directory's answer for this long, some three times as long.
+constexpr auto DIRECTORY_TTL = std::chrono::seconds(2);
+//! Share of the time until SIGKILL after which a leaving process ends at the latest.
+constexpr auto GRACE_SHARE = 0.85;
+//! A leaving process stays at least until callers have asked the directory again.
+constexpr auto LEAST_STAY = std::chrono::milliseconds(2500);
+constexpr auto STATUS_NOT_FOUND = 404U;
+constexpr auto STATUS_UNAVAILABLE = 503U;
+constexpr auto METRICS_PORT = std::uint16_t(9464);
+constexpr auto CONNECT_TIME = std::chrono::milliseconds(400);
+constexpr auto USER_TIMEOUT = std::chrono::milliseconds(3000);
+constexpr auto IDLE_CONNECTION = std::chrono::seconds(8);
+constexpr auto MOST_IDLE = std::size_t(32);
+
+auto poolOptions() -> connection::backend::BackendPoolOptions
+{
+    auto options = connection::backend::BackendPoolOptions();
+    options.connect.timeout = CONNECT_TIME;
+    options.connect.userTimeout = USER_TIMEOUT;
+    options.idleTime = IDLE_CONNECTION;
+    options.mostIdle = MOST_IDLE;
+    return options;
+}
+
+} // namespace
+
+Node::Node(process::runtime::Runtime &runtime, process::settings::MachineSettings settings)
+    : m_runtime(runtime)
+    , m_settings(std::move(settings))
+    , m_incarnation(base::concat(m_settings.node, "#", base::randomId().substr(0, 8)))
+    , m_trueTime(process::clock::wallMilliseconds(), process::clock::now())
+    , m_store(m_settings.storeEndpoint, m_settings.appendLimits, m_metrics)
+    , m_pools(poolOptions())
+    , m_engineControl(m_settings.node, m_pools)
+    , m_duties(m_settings.cloudEndpoint, m_settings.node)
+    , m_servers({})
+    , m_routing(nullptr)
+    , m_operatorFollower(
+          m_runtime.context(), m_store, { { platform::OPERATOR_TOPIC, 0 }, LONG_POLL },
+          { [this](const journal::KeyedRecord &record, base::TimePoint now) {
+               applyOperatorRecord(record, now);
+           },
+            [this](const std::set<std::string> &, base::TimePoint) { m_conductor.wake(); } })
+    , m_serverFollower(
+          m_runtime.context(), m_store,
+          { { platform::SERVER_TOPIC, 0 }, base::Duration(0), SERVER_READ_PAUSE },
+          { [this](const journal::KeyedRecord &record, base::TimePoint now) {
+               applyServerRecord(record, now);
+           },
+            [this](const std::set<std::string> &keys, base::TimePoint now) {
+                m_servers.retain(keys, m_serverFollower.reachability().regainedAt(), now);
+            } })
+    , m_batches(m_runtime.context(), m_store, m_incarnation, m_metrics)
+    , m_membership(m_runtime.context(), m_store, m_settings, m_incarnation, m_trueTime, m_suspects)
+    , m_conductor({ m_runtime.context(), m_store, m_batches, m_servers, m_health, m_engines,
+                    m_pools, m_serverProtocol, m_engineControl, m_duties, m_trueTime, m_metrics,
+                    m_settings, m_incarnation, [this] { return m_routing.load(); },
+                    [this] { return m_namedVersions; } })
+    , m_forwarder({ m_runtime.context(), m_servers, m_health, m_pools, m_serverProtocol, m_metrics,
+                    m_suspects, m_settings.node, m_settings.zone,
+                    [this] { return m_routing.load(); }, [] { return process::clock::now(); },
+                    [this] { return m_membership.memberCount(process::clock::now()); },
+                    [this](const std::string &workspace) { m_conductor.countRun(workspace); } })
+    , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_trueTime, m_metrics,
+                [this] { return m_routing.load(); } })
+{ }
+
+auto Node::callerLimits() const -> http::ServerLimits
+{
+    auto limits = http::ServerLimits();
+    const auto table = m_routing.load();
+    const auto configured = table == nullptr ? version::routing::CallerLimits() : table->limits;
+    limits.headerBytes = configured.headerBytes;
+    limits.bodyBytes = configured.bodyBytes;
+    limits.headerTime = configured.headerTime;
+    limits.idleTime = configured.idleTime;
+    return limits;
+}
+
+auto Node::makeServers() -> void
+{
+    auto &context = m_runtime.context();
+    m_callerServer = std::make_unique<http::HttpServer>(
+        context, callerLimits(), [this](http::Request request, http::IHttpResponder &responder) {
+            return m_calls.handle(std::move(request), responder);
+        });
+    m_directoryServer = std::make_unique<http::HttpServer>(
+        context, http::ServerLimits(),
+        [this](http::Request request, http::IHttpResponder &responder) -> asio::awaitable<void> {
+            if (!platform::isDirectoryCall(request)) {
+                auto unknown = http::Response();
+                unknown.status = STATUS_NOT_FOUND;
+                co_await responder.respond(std::move(unknown));
+                co_return;
+            }
+            const auto zone = http::queryValue(request.target, "zone");
+            const auto addresses =
+                m_membership.addresses(zone, platform::MOST_ADDRESSES, process::clock::now());
+            const auto keepFor = std::min<base::Duration>(DIRECTORY_TTL, m_settings.directoryTtl);
+            co_await responder.respond(platform::writeAddresses(addresses, keepFor));
+        });
+    m_readinessServer = std::make_unique<http::HttpServer>(
+        context, http::ServerLimits(),
+        [this](http::Request request, http::IHttpResponder &responder) -> asio::awaitable<void> {
+            auto answer = http::Response();
+            if (!platform::isReadinessCall(request))
+                answer.status = STATUS_NOT_FOUND;
+            else if (!isReady())
+                answer.status = STATUS_UNAVAILABLE;
+            co_await responder.respond(std::move(answer));
+        });
+    m_metricsServer = std::make_unique<http::HttpServer>(
+        context, http::ServerLimits(),
+        [this](http::Request, http::IHttpResponder &responder) -> asio::awaitable<void> {
+            auto page = http::Response();
+            page.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
+            page.body = m_metrics.render();
+            co_await responder.respond(std::move(page));
+        });
+}
+
+auto Node::listen(http::HttpServer &server, const std::string &endpoint) -> absl::Status
+{
+    const auto colon = endpoint.rfind(':');
+    const auto port = static_cast<std::uint16_t>(std::stoi(endpoint.substr(colon + 1)));
+    return server.listen(endpoint.substr(0, colon), port).status();
+}
+
+auto Node::start() -> absl::Status
+{
+    makeServers();
+    const auto metricsEndpoint = base::concat(m_settings.ip, ":", METRICS_PORT);
+    const auto servers = std::vector<std::pair<http::HttpServer *, std::string>> {
+        { m_callerServer.get(), m_settings.callerEndpoint },
+        { m_directoryServer.get(), m_settings.directoryEndpoint },
+        { m_readinessServer.get(), m_settings.readinessEndpoint },
+        { m_metricsServer.get(), metricsEndpoint },
+    };
+    for (const auto &[server, endpoint] : servers) {
+        const auto listening = listen(*server, endpoint);
+        if (!listening.ok())
+            return listening;
+    }
+    logging::info("node.started", { { "incarnation", m_incarnation },
+                                    { "zone", m_settings.zone },
+                                    { "callers", m_settings.callerEndpoint },
+                                    { "store", m_settings.storeEndpoint } });
+    m_operatorFollower.start();
+    m_serverFollower.start();
+    m_batches.start();
+    m_membership.start();
+    m_conductor.start();
+    asio::co_spawn(m_runtime.context(), housekeeping(), asio::detached);
+    return absl::OkStatus();
+}
+
+auto Node::isReady() const -> bool
+{
+    return !m_terminating && m_routing.load() != nullptr && m_serverFollower.complete()
+        && m_batches.caughtUp();
+}
+
+auto Node::applyOperatorRecord(const journal::KeyedRecord &record, base::TimePoint now) -> void
+{
+    (void)now;
+    switch (platform::kindOfOperatorKey(record.key)) {
+    case platform::OperatorRecordKind::Configuration:
+        applyConfiguration(record);
+        return;
+    case platform::OperatorRecordKind::ZoneOut:
+        applyZoneOut(record);
+        return;
+    case platform::OperatorRecordKind::WeightVersion: {
+        const auto named = platform::readNamedVersion(record);
+        if (!named.has_value()) {
+            logging::error("weights.malformed_record",
+                           { { "key", record.key }, { "offset", record.offset } });
+            return;
+        }
+        auto &version = m_namedVersions[named->model];
+        version = std::max(version, named->version);
+        logging::info("weights.named", { { "model", named->model },
+                                         { "version", named->version },
+                                         { "offset", record.offset } });
+        m_conductor.wake();
+        return;
+    }
+    case platform::OperatorRecordKind::Other:
+        return;
+    }
+}
+
+auto Node::applyConfiguration(const journal::KeyedRecord &record) -> void
+{
+    const auto table = platform::readConfiguration(record);
+    if (!table.ok()) {
+        logging::error("configuration.malformed", { { "problem", base::describe(table.status()) } });
+        return;
+    }
+    const auto current = m_routing.load();
+    // Versions only go up, whatever an old read brings.
+    if (current != nullptr && (*table)->version <= current->version)
+        return;
+    logging::info("configuration.applied",
+                  { { "version", (*table)->version },
+                    { "former", current == nullptr ? 0 : current->version },
+                    { "offset", record.offset },
+                    { "routes", (*table)->routes.size() },
+                    { "keys", (*table)->workspaces.size() } });
+    m_routing.store(*table);
+    m_callerServer->setLimits(callerLimits());
+    m_conductor.wake();
+}
+
+auto Node::applyZoneOut(const journal::KeyedRecord &record) -> void
+{
+    const auto zone = platform::zoneOfKey(record.key);
+    const auto out = !record.value.empty();
+    const auto changed = out ? m_zonesOut.insert(zone).second : m_zonesOut.erase(zone) > 0;
+    if (!changed)
+        return;
+    logging::info("zone.changed", { { "zone", zone }, { "out", out }, { "offset", record.offset } });
+    m_servers.setZonesOut(m_zonesOut);
+    m_conductor.wake();
+}
+
+auto Node::applyServerRecord(const journal::KeyedRecord &record, base::TimePoint now) -> void
+{
+    if (record.value.empty()) {
+        m_servers.remove(record.key, m_serverFollower.reachability().regainedAt(), now);
+        return;
+    }
+    auto server = platform::readServerRecord(record);
+    if (!server.ok()) {
+        if (m_badRecords.insert(record.key).second)
+            logging::error("server.malformed_record",
+                           { { "problem", base::describe(server.status()) } });
+        return;
+    }
+    const auto id = server->id;
+    const auto incarnation = server->incarnation;
+    for (const auto &[model, version] : server->modelVersion)
+        m_engines.noteVersion(id, incarnation, model, version);
+    m_servers.update(std::move(*server), record.offset, now);
+}
+
+auto Node::housekeeping() -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(m_runtime.context());
+    while (true) {
+        timer.expires_after(HOUSEKEEPING);
+        co_await timer.async_wait(USE_TUPLE);
+        const auto now = process::clock::now();
+        logging::flush();
+        m_servers.expire(now);
+        m_suspects.expire(now);
+        m_membership.setServing(isReady());
+        m_batches.forget(m_trueTime.milliseconds(now)
+                         - base::toMilliseconds(m_settings.resultMemory * 2));
+    }
+}
+
+auto Node::reload() -> void
+{
+    logging::info("node.reloaded", { { "note", "the platform's addresses hold until a restart" } });
+}
+
+auto Node::terminate() -> void
+{
+    logging::info("node.leaving", { { "exchanges", m_callerServer->activeExchanges() } });
+    m_terminating = true;
+    m_membership.setServing(false);
+    m_callerServer->announceClose();
+    asio::co_spawn(m_runtime.context(), shutDown(), asio::detached);
+}
+
+auto Node::shutDown() -> asio::awaitable<void>
+{
+    const auto startedAt = process::clock::now();
+    const auto latest = startedAt
+        + std::chrono::duration_cast<base::Duration>(m_settings.grace * GRACE_SHARE);
+    co_await m_conductor.leave();
+    auto timer = asio::steady_timer(m_runtime.context());
+    while (true) {
+        timer.expires_after(HOUSEKEEPING);
+        co_await timer.async_wait(USE_TUPLE);
+        const auto now = process::clock::now();
+        const auto quiet = m_callerServer->activeExchanges() == 0;
+        if (now >= latest || (quiet && now - startedAt >= LEAST_STAY))
+            break;
+    }
+    m_callerServer->drain();
+    logging::info("node.stopped", { { "exchanges", m_callerServer->activeExchanges() },
+                                    { "after_ms", base::toMilliseconds(process::clock::now()
+                                                                       - startedAt) } });
+    logging::flush();
+    m_runtime.stop();
+}
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/node.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "app/node/batchstore.h"
+#include "app/node/callservice.h"
+#include "app/node/conductor.h"
+#include "app/node/membership.h"
+#include "connection/http/httpserver.h"
+#include "platform/callprotocol.h"
+#include "platform/enginecontrol.h"
+#include "platform/platformduties.h"
+#include "platform/serverprotocol.h"
+#include "platform/storeclient.h"
+#include "process/runtime/runtime.h"
+#include "process/snapshot/rcucell.h"
+
+namespace nutmegplank::app::node {
+
+//! One machine of the system on the users' platform: serves callers, answers the directory, and
+//! takes part in everything that one machine at a time does.
+class Node
+{
+public:
+    Node(process::runtime::Runtime &runtime, process::settings::MachineSettings settings);
+
+    //! Starts listening and reading; the error names the address that is taken.
+    auto start() -> absl::Status;
+    //! Begins the graceful shutdown, which ends the runtime.
+    auto terminate() -> void;
+    auto reload() -> void;
+
+private:
+    auto followOperator() -> void;
+    auto applyOperatorRecord(const version::journal::KeyedRecord &record, base::TimePoint now)
+        -> void;
+    auto applyConfiguration(const version::journal::KeyedRecord &record) -> void;
+    auto applyZoneOut(const version::journal::KeyedRecord &record) -> void;
+    auto applyServerRecord(const version::journal::KeyedRecord &record, base::TimePoint now)
+        -> void;
+    auto isReady() const -> bool;
+    auto listen(connection::http::HttpServer &server, const std::string &endpoint) -> absl::Status;
+    auto makeServers() -> void;
+    auto housekeeping() -> boost::asio::awaitable<void>;
+    auto shutDown() -> boost::asio::awaitable<void>;
+    auto callerLimits() const -> connection::http::ServerLimits;
+
+    process::runtime::Runtime &m_runtime;
+    process::settings::MachineSettings m_settings;
+    std::string m_incarnation;
+    process::metrics::Registry m_metrics;
+    process::clock::TrueTime m_trueTime;
+    platform::StoreClient m_store;
+    platform::ServerProtocol m_serverProtocol;
+    platform::CallProtocol m_callProtocol;
+    connection::backend::BackendPools m_pools;
+    platform::EngineControl m_engineControl;
+    platform::PlatformDuties m_duties;
+    process::servers::ServerTable m_servers;
+    process::health::ServerHealth m_health;
+    request::rollout::EngineStates m_engines;
+    request::forward::Suspects m_suspects;
+    process::snapshot::RcuCell<version::routing::RoutingTable> m_routing;
+    std::map<std::string, std::uint64_t> m_namedVersions;
+    std::set<std::string> m_zonesOut;
+    std::set<std::string> m_badRecords; //!< Already logged, as "key@offset".
+    version::journal::KeyedFollower m_operatorFollower;
+    version::journal::KeyedFollower m_serverFollower;
+    BatchStore m_batches;
+    Membership m_membership;
+    Conductor m_conductor;
+    request::forward::Forwarder m_forwarder;
+    CallService m_calls;
+    std::unique_ptr<connection::http::HttpServer> m_callerServer;
+    std::unique_ptr<connection::http::HttpServer> m_directoryServer;
+    std::unique_ptr<connection::http::HttpServer> m_readinessServer;
+    std::unique_ptr<connection::http::HttpServer> m_metricsServer;
+    bool m_terminating = false;
+};
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/resultwriter.cpp
@@ -0,0 +1,143 @@
+#include "app/node/resultwriter.h"
+
+#include <boost/asio.hpp>
+
+#include "app/node/partitions.h"
+#include "process/logging/logging.h"
+#include "version/batch/batchcodec.h"
+
+namespace nutmegplank::app::node {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace journal = version::journal;
+namespace logging = process::logging;
+using journal::AppendOutcome;
+
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+constexpr auto PRODUCER = "conductor";
+//! Results that finish within this time share an append, which takes 2 ms of the partition.
+constexpr auto GATHER = std::chrono::milliseconds(15);
+constexpr auto RETRY = std::chrono::milliseconds(60);
+constexpr auto APPEND_TIME = std::chrono::milliseconds(1500);
+//! Of a record and of a call, below the log's bounds with room for the rest of a record.
+constexpr auto RECORD_TEXT = std::size_t(150'000);
+constexpr auto CALL_TEXT = std::size_t(1'200'000);
+
+} // namespace
+
+ResultWriter::ResultWriter(asio::io_context &context, journal::IJournal &store,
+                           process::metrics::Registry &metrics, std::function<void()> onFenced)
+    : m_context(context)
+    , m_journal(store)
+    , m_onFenced(std::move(onFenced))
+    , m_recordsPerAppend(metrics.distribution("nutmegplank_result_records_per_append",
+                                              "Records of results in one append."))
+{ }
+
+auto ResultWriter::begin(std::uint64_t fence) -> asio::awaitable<std::optional<std::uint64_t>>
+{
+    m_waiting.clear();
+    const auto condition =
+        journal::AppendCondition { {}, journal::Producer { PRODUCER, fence, 0 } };
+    const auto nothing = std::vector<std::string>();
+    const auto result = co_await m_journal.append(partitionFor(PartitionUse::Batches), nothing,
+                                                  condition, APPEND_TIME);
+    logging::info("results.epoch", { { "fence", fence },
+                                     { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
+                                                               result.outcome) },
+                                     { "end", result.end },
+                                     { "detail", result.detail } });
+    if (result.outcome != AppendOutcome::Done)
+        co_return std::nullopt;
+    m_fence = fence;
+    m_sequence = 0;
+    co_return result.end;
+}
+
+auto ResultWriter::stop() -> void
+{
+    m_fence = 0;
+    m_waiting.clear();
+}
+
+auto ResultWriter::add(const std::string &batch, version::batch::Result result) -> void
+{
+    if (m_fence == 0)
+        return;
+    m_waiting[batch].push_back(std::move(result));
+    if (std::exchange(m_writing, true))
+        return;
+    asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
+}
+
+auto ResultWriter::takeRecords() -> std::vector<std::string>
+{
+    auto records = std::vector<std::string>();
+    auto callBytes = std::size_t(0);
+    while (!m_waiting.empty() && callBytes < CALL_TEXT) {
+        auto &[batch, results] = *m_waiting.begin();
+        auto group = std::vector<version::batch::Result>();
+        auto bytes = std::size_t(0);
+        while (!results.empty() && bytes < RECORD_TEXT) {
+            bytes += results.back().text.size();
+            group.push_back(std::move(results.back()));
+            results.pop_back();
+        }
+        callBytes += bytes;
+        records.push_back(version::batch::encodeResults(batch, group));
+        if (results.empty())
+            m_waiting.erase(m_waiting.begin());
+    }
+    return records;
+}
+
+auto ResultWriter::writeLoop(std::uint64_t fence) -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(m_context);
+    auto records = std::vector<std::string>();
+    while (m_fence == fence) {
+        if (records.empty()) {
+            timer.expires_after(GATHER);
+            co_await timer.async_wait(USE_TUPLE);
+            records = takeRecords();
+            if (records.empty())
+                break;
+            ++m_sequence;
+        }
+        const auto condition =
+            journal::AppendCondition { {}, journal::Producer { PRODUCER, fence, m_sequence } };
+        const auto result = co_await m_journal.append(partitionFor(PartitionUse::Batches), records,
+                                                      condition, APPEND_TIME);
+        if (result.outcome == AppendOutcome::Done) {
+            m_recordsPerAppend.record(static_cast<double>(records.size()));
+            records.clear();
+            continue;
+        }
+        logging::warning("results.append_failed",
+                         { { "fence", fence },
+                           { "sequence", m_sequence },
+                           { "records", records.size() },
+                           { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
+                                                     result.outcome) },
+                           { "detail", result.detail } });
+        if (result.outcome == AppendOutcome::Fenced) {
+            m_fence = 0;
+            m_onFenced();
+            break;
+        }
+        // The same records under the same number: the log tells a repeat by it.
+        if (result.outcome == AppendOutcome::Sequence)
+            m_sequence = result.end;
+        timer.expires_after(RETRY);
+        co_await timer.async_wait(USE_TUPLE);
+    }
+    m_writing = false;
+    if (m_fence != 0 && !m_waiting.empty()) {
+        m_writing = true;
+        asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
+    }
+}
+
+} // namespace nutmegplank::app::node
--- /dev/null
+++ b/src/app/node/resultwriter.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "process/metrics/metrics.h"
+#include "version/batch/batch.h"
+#include "version/journal/ijournal.h"
+
+namespace nutmegplank::app::node {
+
+//! Puts finished results into the log, many at a time, under the fencing number of the process in
+//! charge, so that a former one can write nothing more.
+class ResultWriter
+{
+public:
+    //! \a onFenced: another process has taken over.
+    ResultWriter(boost::asio::io_context &context, version::journal::IJournal &journal,
+                 process::metrics::Registry &metrics, std::function<void()> onFenced);
+
+    //! Fences off all earlier writers. Gives the log's end as of then; nothing when that failed.
+    auto begin(std::uint64_t fence) -> boost::asio::awaitable<std::optional<std::uint64_t>>;
+    auto stop() -> void;
+    auto add(const std::string &batch, version::batch::Result result) -> void;
+
+private:
+    auto writeLoop(std::uint64_t fence) -> boost::asio::awaitable<void>;
+    auto takeRecords() -> std::vector<std::string>;
+
+    boost::asio::io_context &m_context;
+    version::journal::IJournal &m_journal;
+    std::function<void()> m_onFenced;
+    std::map<std::string, std::vector<version::batch::Result>> m_waiting; //!< By batch.
+    std::uint64_t m_fence = 0;
+    std::uint64_t m_sequence = 0;
+    bool m_writing = false;
+    process::metrics::Distribution &m_recordsPerAppend;
+};
+
+} // namespace nutmegplank::app::node
--- a/src/connection/backend/backendpool.h
+++ b/src/connection/backend/backendpool.h
@@ -55,6 +55,7 @@
     {
         ConnectionPtr connection;
         base::TimePoint since;
+        base::TimePoint until; //!< The peer may close it from here on.
     };
 
     std::string m_endpoint;
--- a/src/connection/backend/internal/backendpool.cpp
+++ b/src/connection/backend/internal/backendpool.cpp
@@ -2,6 +2,13 @@
 
 namespace nutmegplank::connection::backend {
 
+namespace {
+
+//! A connection is given up this long before its peer would close it.
+constexpr auto KEEP_ALIVE_MARGIN = std::chrono::milliseconds(700);
+
+} // namespace
+
 auto BackendPool::acquire(Repeatable repeatable, base::TimePoint now)
     -> boost::asio::awaitable<absl::StatusOr<ConnectionPtr>>
 {
@@ -10,10 +17,12 @@
         m_idle.pop_back();
     }
     const auto allowed = repeatable == Repeatable::Yes ? m_options.idleTime : m_options.provenTime;
-    if (!m_idle.empty() && now - m_idle.front().since <= allowed) {
-        auto connection = std::move(m_idle.front().connection);
+    while (!m_idle.empty() && now - m_idle.front().since <= allowed) {
+        auto idle = std::move(m_idle.front());
         m_idle.pop_front();
-        co_return connection;
+        if (now < idle.until && idle.connection->quiet())
+            co_return std::move(idle.connection);
+        idle.connection->close();
     }
     auto made = co_await http::connect(m_endpoint, m_options.connect);
     if (!made.ok())
@@ -27,7 +36,9 @@
         connection->close();
         return;
     }
-    m_idle.push_front(Idle { std::move(connection), now });
+    const auto promised = connection->keepAlive();
+    const auto usable = promised.count() > 0 ? promised - KEEP_ALIVE_MARGIN : m_options.idleTime;
+    m_idle.push_front(Idle { std::move(connection), now, now + usable });
 }
 
 auto BackendPool::clear() -> void
--- a/src/connection/http/httpserver.h
+++ b/src/connection/http/httpserver.h
@@ -43,6 +43,10 @@
 
     //! Listens on \a address; port 0 picks a free one. Gives the bound port.
     auto listen(const std::string &address, std::uint16_t port) -> absl::StatusOr<std::uint16_t>;
+    //! New limits, for connections and requests from now on.
+    auto setLimits(ServerLimits limits) -> void;
+    //! Goes on serving, but answers say that their connection will be closed.
+    auto announceClose() -> void;
     //! Accepts no more connections; open ones answer what they have begun and are then closed.
     auto drain() -> void;
     //! Connections that are open now.
--- a/src/connection/http/ihttpconnection.h
+++ b/src/connection/http/ihttpconnection.h
@@ -33,6 +33,11 @@
         -> boost::asio::awaitable<absl::StatusOr<std::optional<std::string>>> = 0;
     //! Whether the last exchange was read to its end and the peer keeps the connection.
     virtual auto reusable() const -> bool = 0;
+    //! Whether nothing has arrived since the last exchange. Bytes that belong to no request, or the
+    //! peer's close, make a kept connection unusable.
+    virtual auto quiet() -> bool { return true; }
+    //! How long the peer keeps the connection when it is idle; 0 when it does not say.
+    virtual auto keepAlive() const -> base::Duration { return base::Duration(0); }
     //! Ends the connection; a running call returns an error. Call it on the connection's executor.
     virtual auto close() -> void = 0;
 };
--- a/src/connection/http/ihttpresponder.h
+++ b/src/connection/http/ihttpresponder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string_view>
 
 #include <absl/status/status.h>
@@ -25,6 +26,9 @@
     virtual auto abort() -> void = 0;
     //! Whether anything of the answer has been sent.
     virtual auto started() const -> bool = 0;
+    //! \a hook runs once if the caller closes its connection before the answer is complete. It must
+    //! not end the responder itself.
+    virtual auto onCallerGone(std::function<void()> hook) -> void { (void)hook; }
 };
 
 } // namespace nutmegplank::connection::http
--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -1,5 +1,9 @@
 #include "connection/http/internal/httpconnection.h"
 
+#include <sys/socket.h>
+
+#include <charconv>
+
 #include <boost/asio/ssl.hpp>
 #include <boost/beast/ssl.hpp>
 
@@ -15,6 +19,19 @@
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 constexpr auto READ_BYTES = std::size_t(16 * 1024);
 
+//! The seconds of "timeout=N" in a Keep-Alive header; 0 when there are none.
+auto keepAliveOf(std::string_view value) -> base::Duration
+{
+    constexpr auto FIELD = std::string_view("timeout=");
+    const auto at = value.find(FIELD);
+    if (at == std::string_view::npos)
+        return base::Duration(0);
+    auto seconds = 0;
+    const auto digits = value.substr(at + FIELD.size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
 } // namespace
 
 template <typename Stream>
@@ -37,7 +54,8 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(beast::http::field::host, m_peer);
+    if (headerValue(request.headers, "Host").empty())
+        message.set(beast::http::field::host, m_peer);
     for (const auto &header : request.headers)
         message.insert(header.name, header.value);
     message.body() = request.body;
@@ -64,6 +82,8 @@
         co_return errorAt("http.readHead", error);
     auto head = Response();
     head.status = m_parser->get().result_int();
+    const auto field = m_parser->get()[beast::http::field::keep_alive];
+    m_keepAlive = keepAliveOf({ field.data(), field.size() });
     for (const auto &field : m_parser->get())
         head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
     co_return head;
@@ -89,10 +109,20 @@
         part.resize(received);
         co_return std::optional<std::string>(std::move(part));
     }
-    m_reusable = m_parser->keep_alive();
+    // Bytes after a complete answer belong to no request and poison the connection.
+    m_reusable = m_parser->keep_alive() && m_buffer.size() == 0;
     co_return std::optional<std::string>();
 }
 
+template <typename Stream>
+auto HttpConnection<Stream>::quiet() -> bool
+{
+    auto byte = char();
+    const auto received =
+        ::recv(tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 template <typename Stream>
 auto HttpConnection<Stream>::close() -> void
 {
--- a/src/connection/http/internal/httpconnection.h
+++ b/src/connection/http/internal/httpconnection.h
@@ -25,6 +25,8 @@
     auto readBody(base::Duration timeout)
         -> boost::asio::awaitable<absl::StatusOr<std::optional<std::string>>> override;
     auto reusable() const -> bool override { return m_reusable; }
+    auto quiet() -> bool override;
+    auto keepAlive() const -> base::Duration override { return m_keepAlive; }
     auto close() -> void override;
 
 private:
@@ -40,6 +42,7 @@
     std::unique_ptr<Parser> m_parser;
     bool m_headRequest = false;
     bool m_reusable = true;
+    base::Duration m_keepAlive { 0 };
 };
 
 } // namespace nutmegplank::connection::http
--- a/src/connection/http/internal/httpserver.cpp
+++ b/src/connection/http/internal/httpserver.cpp
@@ -29,9 +29,9 @@
 auto servePlain(std::shared_ptr<SessionHost> host, Tcp::socket socket) -> asio::awaitable<void>
 {
     const auto peer = nameOf(socket);
-    auto session =
-        HttpSession<beast::tcp_stream>(std::move(host), beast::tcp_stream(std::move(socket)), peer);
-    co_await session.run();
+    auto session = std::make_shared<HttpSession<beast::tcp_stream>>(
+        std::move(host), beast::tcp_stream(std::move(socket)), peer);
+    co_await session->run();
 }
 
 auto serveTls(std::shared_ptr<SessionHost> host, Tcp::socket socket,
@@ -39,13 +39,13 @@
 {
     const auto peer = nameOf(socket);
     auto stream = beast::ssl_stream<beast::tcp_stream>(beast::tcp_stream(std::move(socket)), *tls);
-    beast::get_lowest_layer(stream).expires_after(host->limits.headerTime);
+    beast::get_lowest_layer(stream).expires_after(host->limits.load()->headerTime);
     auto [error] = co_await stream.async_handshake(asio::ssl::stream_base::server, USE_TUPLE);
     if (error)
         co_return;
-    auto session =
-        HttpSession<beast::ssl_stream<beast::tcp_stream>>(std::move(host), std::move(stream), peer);
-    co_await session.run();
+    auto session = std::make_shared<HttpSession<beast::ssl_stream<beast::tcp_stream>>>(
+        std::move(host), std::move(stream), peer);
+    co_await session->run();
 }
 
 } // namespace
@@ -77,7 +77,7 @@
 
     auto start(Tcp::socket socket) -> void
     {
-        if (host->connections >= host->limits.connections)
+        if (host->connections >= host->limits.load()->connections)
             return;
         auto ignored = beast::error_code();
         socket.set_option(Tcp::no_delay(true), ignored);
@@ -98,7 +98,7 @@
                        TlsContextSource tls)
     : m_state(std::make_shared<State>(context, std::move(tls)))
 {
-    m_state->host->limits = limits;
+    setLimits(limits);
     m_state->host->handler = std::move(handler);
 }
 
@@ -129,9 +129,20 @@
     return acceptor.local_endpoint().port();
 }
 
+auto HttpServer::setLimits(ServerLimits limits) -> void
+{
+    m_state->host->limits = std::make_shared<const ServerLimits>(limits);
+}
+
+auto HttpServer::announceClose() -> void
+{
+    m_state->host->closing = true;
+}
+
 auto HttpServer::drain() -> void
 {
     m_state->host->draining = true;
+    m_state->host->wakeIdle();
     asio::post(m_state->context, [state = m_state] {
         auto ignored = beast::error_code();
         state->acceptor.close(ignored);
--- a/src/connection/http/internal/httpsession.cpp
+++ b/src/connection/http/internal/httpsession.cpp
@@ -1,5 +1,7 @@
 #include "connection/http/internal/httpsession.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/ssl.hpp>
 #include <boost/beast/ssl.hpp>
 
@@ -13,8 +15,7 @@
 namespace beast = boost::beast;
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
-//! How long a connection may wait for its next request while the server drains.
-constexpr auto DRAIN_CHECK = std::chrono::milliseconds(200);
+constexpr auto FIRST_READ_BYTES = std::size_t(4096);
 
 auto statusForReadError(beast::error_code error) -> beast::http::status
 {
@@ -42,25 +43,74 @@
 
 } // namespace
 
+template <typename Stream>
+auto HttpSession<Stream>::registerWaker() -> void
+{
+    const auto weak = this->weak_from_this();
+    const auto executor = tcp().get_executor();
+    const auto lock = std::lock_guard(m_host->mutex);
+    m_host->wakers[this] = [weak, executor] {
+        asio::post(executor, [weak] {
+            const auto session = weak.lock();
+            if (session != nullptr && session->m_idle)
+                session->tcp().cancel();
+        });
+    };
+}
+
 template <typename Stream>
 auto HttpSession<Stream>::waitForFirstByte() -> asio::awaitable<bool>
 {
     if (m_buffer.size() > 0)
         co_return true;
-    auto waited = base::Duration(0);
-    while (!m_host->draining && waited < m_host->limits.idleTime) {
-        tcp().expires_never();
-        auto timer = asio::steady_timer(tcp().get_executor());
-        using namespace asio::experimental::awaitable_operators;
-        timer.expires_after(DRAIN_CHECK);
-        const auto outcome =
-            co_await (tcp().socket().async_wait(asio::ip::tcp::socket::wait_read, USE_TUPLE)
-                      || timer.async_wait(USE_TUPLE));
-        if (outcome.index() == 0)
-            co_return !std::get<0>(std::get<0>(outcome));
-        waited += DRAIN_CHECK;
-    }
-    co_return false;
+    if (m_host->draining)
+        co_return false;
+    m_idle = true;
+    tcp().expires_after(m_host->limits.load()->idleTime);
+    auto [error, bytes] =
+        co_await m_stream.async_read_some(m_buffer.prepare(FIRST_READ_BYTES), USE_TUPLE);
+    m_idle = false;
+    m_buffer.commit(bytes);
+    co_return !error;
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::onCallerGone(std::function<void()> hook) -> void
+{
+    m_onGone = std::move(hook);
+    watchCaller();
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::watchCaller() -> void
+{
+    // The operation refers to the session's cancellation signal until it has completed, so it keeps
+    // the session.
+    const auto session = this->shared_from_this();
+    tcp().socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        asio::bind_cancellation_slot(m_stopWatch.slot(), [session](beast::error_code error) {
+            if (error || !session->m_onGone)
+                return;
+            auto byte = char();
+            const auto received = ::recv(session->tcp().socket().native_handle(), &byte, 1,
+                                         MSG_PEEK | MSG_DONTWAIT);
+            // Bytes of a next request: the caller is there, and there is nothing more to watch.
+            if (received > 0)
+                return;
+            if (received < 0 && errno == EAGAIN) {
+                session->watchCaller();
+                return;
+            }
+            std::exchange(session->m_onGone, nullptr)();
+        }));
+}
+
+template <typename Stream>
+auto HttpSession<Stream>::stopWatching() -> void
+{
+    m_onGone = nullptr;
+    m_stopWatch.emit(asio::cancellation_type::all);
 }
 
 template <typename Stream>
@@ -84,9 +134,10 @@
 auto HttpSession<Stream>::readRequest() -> asio::awaitable<std::optional<Request>>
 {
     auto parser = Parser();
-    parser.header_limit(m_host->limits.headerBytes);
-    parser.body_limit(m_host->limits.bodyBytes);
-    tcp().expires_after(m_host->limits.headerTime);
+    const auto limits = m_host->limits.load();
+    parser.header_limit(limits->headerBytes);
+    parser.body_limit(limits->bodyBytes);
+    tcp().expires_after(limits->headerTime);
     auto [headError, headBytes] =
         co_await beast::http::async_read_header(m_stream, m_buffer, parser, USE_TUPLE);
     if (headError) {
@@ -98,7 +149,7 @@
             beast::http::response<beast::http::empty_body>(beast::http::status::continue_, 11);
         co_await beast::http::async_write(m_stream, proceed, USE_TUPLE);
     }
-    tcp().expires_after(m_host->limits.bodyTime);
+    tcp().expires_after(limits->bodyTime);
     auto [bodyError, bodyBytes] =
         co_await beast::http::async_read(m_stream, m_buffer, parser, USE_TUPLE);
     if (bodyError) {
@@ -126,6 +177,7 @@
 template <typename Stream>
 auto HttpSession<Stream>::run() -> asio::awaitable<void>
 {
+    registerWaker();
     while (m_keepAlive && co_await waitForFirstByte()) {
         m_started = false;
         m_finished = false;
@@ -133,6 +185,7 @@
         auto request = co_await readRequest();
         if (request.has_value())
             co_await m_host->handler(std::move(*request), *this);
+        stopWatching();
         --m_host->exchanges;
         if (!request.has_value() || !m_finished)
             break;
@@ -151,7 +204,7 @@
 template <typename Stream>
 auto HttpSession<Stream>::respond(Response response) -> asio::awaitable<absl::Status>
 {
-    if (m_host->draining)
+    if (m_host->draining || m_host->closing)
         m_keepAlive = false;
     auto message = beast::http::response<beast::http::string_body>(
         static_cast<beast::http::status>(response.status), m_version);
@@ -162,7 +215,7 @@
     if (!m_hasBody)
         message.body().clear();
     m_started = true;
-    tcp().expires_after(m_host->limits.writeTime);
+    tcp().expires_after(m_host->limits.load()->writeTime);
     auto [error, bytes] = co_await beast::http::async_write(m_stream, message, USE_TUPLE);
     if (error)
         co_return writeError(error);
@@ -176,11 +229,13 @@
     auto message = beast::http::response<beast::http::empty_body>(
         static_cast<beast::http::status>(head.status), m_version);
     copyHeaders(head.headers, message);
+    if (m_host->draining || m_host->closing)
+        m_keepAlive = false;
     message.keep_alive(m_keepAlive);
     message.chunked(true);
     m_started = true;
     auto serializer = beast::http::response_serializer<beast::http::empty_body>(message);
-    tcp().expires_after(m_host->limits.writeTime);
+    tcp().expires_after(m_host->limits.load()->writeTime);
     auto [error, bytes] = co_await beast::http::async_write_header(m_stream, serializer, USE_TUPLE);
     co_return error ? writeError(error) : absl::OkStatus();
 }
@@ -190,7 +245,7 @@
 {
     if (data.empty())
         co_return absl::OkStatus();
-    tcp().expires_after(m_host->limits.writeTime);
+    tcp().expires_after(m_host->limits.load()->writeTime);
     const auto buffer = beast::http::make_chunk(asio::const_buffer(data.data(), data.size()));
     auto [error, bytes] = co_await asio::async_write(m_stream, buffer, USE_TUPLE);
     co_return error ? writeError(error) : absl::OkStatus();
@@ -199,7 +254,7 @@
 template <typename Stream>
 auto HttpSession<Stream>::endStream() -> asio::awaitable<absl::Status>
 {
-    tcp().expires_after(m_host->limits.writeTime);
+    tcp().expires_after(m_host->limits.load()->writeTime);
     auto [error, bytes] =
         co_await asio::async_write(m_stream, beast::http::make_chunk_last(), USE_TUPLE);
     if (error)
--- a/src/connection/http/internal/httpsession.h
+++ b/src/connection/http/internal/httpsession.h
@@ -11,16 +11,28 @@
 //! Shared by the server and its sessions.
 struct SessionHost
 {
-    ServerLimits limits;
+    std::atomic<std::shared_ptr<const ServerLimits>> limits;
     HttpHandler handler;
+    std::atomic<bool> closing { false }; //!< Answers say "Connection: close".
     std::atomic<bool> draining { false };
     std::atomic<std::size_t> connections { 0 };
     std::atomic<std::size_t> exchanges { 0 };
+
+    //! Ends the wait of all connections that are between two requests.
+    auto wakeIdle() -> void
+    {
+        const auto lock = std::lock_guard(mutex);
+        for (const auto &[session, wake] : wakers)
+            wake();
+    }
+
+    std::mutex mutex;
+    std::unordered_map<const void *, std::function<void()>> wakers; //!< By session.
 };
 
 //! One connection of a caller over \a Stream (plain TCP or TLS).
 template <typename Stream>
-class HttpSession : public IHttpResponder
+class HttpSession : public IHttpResponder, public std::enable_shared_from_this<HttpSession<Stream>>
 {
 public:
     HttpSession(std::shared_ptr<SessionHost> host, Stream stream, std::string peer)
@@ -30,7 +42,12 @@
     {
         ++m_host->connections;
     }
-    ~HttpSession() override { --m_host->connections; }
+    ~HttpSession() override
+    {
+        --m_host->connections;
+        const auto lock = std::lock_guard(m_host->mutex);
+        m_host->wakers.erase(this);
+    }
     HttpSession(const HttpSession &) = delete;
     auto operator=(const HttpSession &) -> HttpSession & = delete;
 
@@ -42,6 +59,7 @@
     auto endStream() -> boost::asio::awaitable<absl::Status> override;
     auto abort() -> void override;
     auto started() const -> bool override { return m_started; }
+    auto onCallerGone(std::function<void()> hook) -> void override;
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -49,6 +67,9 @@
     auto readRequest() -> boost::asio::awaitable<std::optional<Request>>;
     auto refuse(boost::beast::error_code error) -> boost::asio::awaitable<void>;
     auto waitForFirstByte() -> boost::asio::awaitable<bool>;
+    auto registerWaker() -> void;
+    auto watchCaller() -> void;
+    auto stopWatching() -> void;
     auto toRequest(Parser &parser) -> Request;
     auto writeError(boost::beast::error_code error) const -> absl::Status;
     auto tcp() -> boost::beast::tcp_stream & { return boost::beast::get_lowest_layer(m_stream); }
@@ -62,6 +83,9 @@
     bool m_started = false;
     bool m_finished = false;
     bool m_hasBody = true;
+    bool m_idle = false;
+    std::function<void()> m_onGone;
+    boost::asio::cancellation_signal m_stopWatch;
 };
 
 } // namespace nutmegplank::connection::http
--- /dev/null
+++ b/src/platform/callprotocol.cpp
@@ -0,0 +1,231 @@
+#include "platform/callprotocol.h"
+
+#include <charconv>
+
+#include <boost/json.hpp>
+
+#include "base/base64.h"
+#include "base/status.h"
+#include "base/text.h"
+#include "connection/backend/cleanheaders.h"
+#include "platform/jsonfields.h"
+#include "platform/wireheaders.h"
+
+namespace nutmegplank::platform {
+
+namespace {
+
+namespace http = connection::http;
+namespace json = boost::json;
+using request::call::Call;
+using request::call::CallKind;
+using request::call::RefusalCode;
+
+//! "lots" are batches.
+constexpr auto RESULTS_PREFIX = std::string_view("/v1/lots/");
+constexpr auto BODY_PREFIX = std::string_view("/v1/items/");
+constexpr auto KEY_SCHEME = std::string_view("Bearer ");
+//! An answer holds at most 1 MB of results.
+constexpr auto MOST_RESULT_BYTES = std::size_t(900'000);
+constexpr auto RESULT_OVERHEAD = std::size_t(200);
+
+auto numberOf(std::string_view text) -> std::optional<std::uint64_t>
+{
+    auto number = std::uint64_t(0);
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || error != std::errc())
+        return std::nullopt;
+    return number;
+}
+
+auto statusOf(RefusalCode code) -> std::uint32_t
+{
+    switch (code) {
+    case RefusalCode::NoRoute:
+    case RefusalCode::NoBatch:
+        return 404;
+    case RefusalCode::UnknownKey:
+        return 401;
+    case RefusalCode::Malformed:
+        return 400;
+    case RefusalCode::Unknown:
+        return 502;
+    case RefusalCode::Expired:
+        return 504;
+    case RefusalCode::NotReady:
+    case RefusalCode::NoServer:
+    case RefusalCode::StoreAway:
+    case RefusalCode::Unsure:
+    case RefusalCode::Condemned:
+        return 503;
+    }
+    return 503;
+}
+
+auto malformed(const Call &call, std::string_view what) -> absl::Status
+{
+    return base::makeError(absl::StatusCode::kInvalidArgument, what,
+                           { "batch.read", call.requestId });
+}
+
+auto headerOf(const version::batch::Item &item, std::string_view name) -> std::string
+{
+    return http::headerValue(item.headers, name);
+}
+
+auto readItem(const json::object &object) -> std::optional<version::batch::Item>
+{
+    auto item = version::batch::Item();
+    const auto id = textField(object, "id");
+    const auto path = textField(object, "path");
+    const auto body = base::decodeBase64(textField(object, "body").value_or(""));
+    if (!id.has_value() || !path.has_value() || !body.has_value())
+        return std::nullopt;
+    item.id = *id;
+    item.path = *path;
+    item.body = *body;
+    item.group = textField(object, "group").value_or("");
+    // "tokens": prompt and the most output together.
+    item.tokens = wholeField(object, "tokens").value_or(0);
+    if (const auto *headers = objectField(object, "headers")) {
+        for (const auto &entry : *headers) {
+            if (entry.value().is_string())
+                item.headers.push_back({ std::string(entry.key()),
+                                         std::string(entry.value().get_string()) });
+        }
+    }
+    http::removeHeader(item.headers, wireheaders::REQUEST_ID);
+    item.headers.push_back({ wireheaders::REQUEST_ID, item.id });
+    item.promptTokens = numberOf(headerOf(item, wireheaders::TOKEN_USAGE)).value_or(0);
+    item.expectedOutput = numberOf(headerOf(item, wireheaders::LENGTH_HINT)).value_or(0);
+    return item;
+}
+
+} // namespace
+
+auto CallProtocol::readCall(const http::Request &request) const -> Call
+{
+    auto call = Call();
+    call.requestId = http::headerValue(request.headers, wireheaders::REQUEST_ID);
+    call.host = http::headerValue(request.headers, "Host");
+    call.path = std::string(http::pathOf(request.target));
+    const auto authorization = http::headerValue(request.headers, "Authorization");
+    if (authorization.starts_with(KEY_SCHEME))
+        call.key = authorization.substr(KEY_SCHEME.size());
+    const auto deadline = numberOf(http::headerValue(request.headers, wireheaders::DEADLINE));
+    call.timeLeft = std::chrono::milliseconds(deadline.value_or(0));
+    const auto wait = numberOf(http::headerValue(request.headers, wireheaders::WAIT));
+    call.wait = std::chrono::milliseconds(wait.value_or(0));
+    if (call.path.starts_with(RESULTS_PREFIX) && request.method == "GET") {
+        call.kind = CallKind::ReadResults;
+        call.batchId = call.path.substr(RESULTS_PREFIX.size());
+        call.position = numberOf(http::queryValue(request.target, "after")).value_or(0);
+    } else if (call.path.starts_with(RESULTS_PREFIX) && request.method == "DELETE") {
+        call.kind = CallKind::EndBatch;
+        call.batchId = call.path.substr(RESULTS_PREFIX.size());
+    } else if (call.path.starts_with(BODY_PREFIX) && request.method == "GET") {
+        call.kind = CallKind::ReadBody;
+        call.batchId = call.path.substr(BODY_PREFIX.size());
+        call.itemId = http::queryValue(request.target, "id");
+    }
+    return call;
+}
+
+auto CallProtocol::readSubmission(const Call &call, const std::string &body) const
+    -> absl::StatusOr<version::batch::Submission>
+{
+    const auto object = parseObject(body);
+    if (!object.has_value())
+        return malformed(call, "the body is no JSON object");
+    const auto *items = arrayField(*object, "items");
+    if (call.requestId.empty() || items == nullptr || items->empty())
+        return malformed(call, "a batch needs X-Request-Id and a list \"items\"");
+    auto submission = version::batch::Submission();
+    submission.id = call.requestId;
+    submission.host = call.host;
+    submission.path = call.path;
+    submission.model = textField(*object, "model").value_or("");
+    submission.minVersion = wholeField(*object, "min_version").value_or(0);
+    submission.step = static_cast<std::uint32_t>(wholeField(*object, "step").value_or(0));
+    submission.groupCount =
+        static_cast<std::uint32_t>(wholeField(*object, "group_count").value_or(0));
+    submission.items.reserve(items->size());
+    for (const auto &value : *items) {
+        const auto *entry = value.if_object();
+        auto item = entry == nullptr ? std::nullopt : readItem(*entry);
+        if (!item.has_value())
+            return malformed(call, "an item needs id, path and a body in base64");
+        submission.items.push_back(std::move(*item));
+    }
+    return submission;
+}
+
+auto CallProtocol::writeResults(const version::batch::Batch &batch, std::uint64_t position) const
+    -> http::Response
+{
+    auto results = json::array();
+    auto bytes = std::size_t(0);
+    auto next = position;
+    while (next < batch.results.size()) {
+        const auto &result = batch.results[next];
+        bytes += result.text.size() + RESULT_OVERHEAD;
+        if (bytes > MOST_RESULT_BYTES && next > position)
+            break;
+        auto entry = json::object();
+        entry["id"] = batch.submission.items[result.item].id;
+        entry["state"] = result.lost ? "lost" : "completed";
+        entry["text"] = result.text;
+        entry["versions"] = json::array(result.versions.begin(), result.versions.end());
+        results.push_back(std::move(entry));
+        ++next;
+    }
+    auto body = json::object();
+    body["total"] = batch.submission.items.size();
+    // "next_token" is a position.
+    body["next_token"] = next;
+    body["results"] = std::move(results);
+    return http::jsonResponse(200, json::serialize(body));
+}
+
+auto CallProtocol::writeRefusal(const request::call::Refusal &refusal,
+                                const std::string &requestId) const -> http::Response
+{
+    auto error = json::object();
+    error["code"] = base::nameOf(request::call::REFUSAL_CODE_NAMES, refusal.code);
+    error["message"] = refusal.detail;
+    error["request"] = requestId;
+    auto body = json::object();
+    body["error"] = std::move(error);
+    auto response = http::jsonResponse(statusOf(refusal.code), json::serialize(body));
+    if (!requestId.empty())
+        response.headers.push_back({ wireheaders::REQUEST_ID, requestId });
+    if (refusal.retryAfter.count() > 0)
+        response.headers.push_back(
+            { wireheaders::RETRY_AFTER, base::concat(base::toSeconds(refusal.retryAfter)) });
+    return response;
+}
+
+auto CallProtocol::writeAccepted(const std::string &requestId) const -> http::Response
+{
+    auto response = http::jsonResponse(202, "{}");
+    response.headers.push_back({ wireheaders::REQUEST_ID, requestId });
+    return response;
+}
+
+auto CallProtocol::forwardable(http::Request request) const -> http::Request
+{
+    const auto host = http::headerValue(request.headers, "Host");
+    request.headers = connection::backend::cleanHeaders(std::move(request.headers));
+    request.headers.push_back({ "Host", host });
+    return request;
+}
+
+auto CallProtocol::returnable(http::Response response) const -> http::Response
+{
+    for (const auto *name : { "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+                              "Trailer", "Upgrade" })
+        http::removeHeader(response.headers, name);
+    return response;
+}
+
+} // namespace nutmegplank::platform
--- /dev/null
+++ b/src/platform/callprotocol.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "request/call/call.h"
+
+namespace nutmegplank::platform {
+
+//! Calls of callers, as the platform spells them.
+class CallProtocol : public request::call::ICallProtocol
+{
+public:
+    auto readCall(const connection::http::Request &request) const -> request::call::Call override;
+    auto readSubmission(const request::call::Call &call, const std::string &body) const
+        -> absl::StatusOr<version::batch::Submission> override;
+    auto writeResults(const version::batch::Batch &batch, std::uint64_t position) const
+        -> connection::http::Response override;
+    auto writeRefusal(const request::call::Refusal &refusal, const std::string &requestId) const
+        -> connection::http::Response override;
+    auto writeAccepted(const std::string &requestId) const
+        -> connection::http::Response override;
+    auto forwardable(connection::http::Request request) const
+        -> connection::http::Request override;
+    auto returnable(connection::http::Response response) const
+        -> connection::http::Response override;
+};
+
+} // namespace nutmegplank::platform
--- /dev/null
+++ b/src/platform/enginecontrol.cpp
@@ -0,0 +1,97 @@
+#include "platform/enginecontrol.h"
+
+#include <boost/json.hpp>
+
+#include "base/status.h"
+#include "base/text.h"
+#include "platform/jsonfields.h"
+#include "platform/platformcall.h"
+#include "platform/serverrecords.h"
+#include "platform/wireheaders.h"
+
+namespace nutmegplank::platform {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = connection::http;
+namespace json = boost::json;
+using version::waves::LoadStrategy;
+using version::waves::OrderOutcome;
+
+constexpr auto CALL_TIME = std::chrono::milliseconds(800);
+
+//! "retain" keeps the runs, "wait" lets them finish first.
+constexpr auto WIRE_STRATEGIES = base::EnumTable<LoadStrategy, 2> { {
+    { LoadStrategy::Finish, "wait" },
+    { LoadStrategy::Retain, "retain" },
+} };
+
+auto outcomeOf(std::uint32_t status) -> OrderOutcome
+{
+    switch (status) {
+    case 202:
+        return OrderOutcome::Accepted;
+    case 200:
+        return OrderOutcome::AlreadyHolds;
+    case 409:
+        return OrderOutcome::Conflict;
+    case 412:
+        return OrderOutcome::Fenced;
+    case 421:
+        return OrderOutcome::WrongServer;
+    default:
+        return OrderOutcome::Rejected;
+    }
+}
+
+} // namespace
+
+auto EngineControl::order(version::waves::WeightOrder order) -> asio::awaitable<OrderOutcome>
+{
+    auto body = json::object();
+    body["operation"] = "version";
+    body["model"] = order.model;
+    body["version"] = order.version;
+    body["strategy"] = base::nameOf(WIRE_STRATEGIES, order.strategy);
+    body["holder"] = m_holder;
+    body["fencing_token"] = order.fence;
+    // "expected" is the number of orders that the engine has accepted before this one.
+    if (order.expectedSequence.has_value())
+        body["expected"] = *order.expectedSequence;
+    auto request = http::Request();
+    request.method = "POST";
+    request.target = "/v1/order";
+    request.headers = { { "Content-Type", "application/json" },
+                        { wireheaders::EXPECT_SERVER, order.engine } };
+    request.body = json::serialize(body);
+    const auto result = co_await callOver(m_pools.pool(order.engine, order.endpoint),
+                                          std::move(request), CALL_TIME);
+    if (!result.response.ok())
+        co_return result.sent ? OrderOutcome::NoAnswer : OrderOutcome::NotSent;
+    co_return outcomeOf(result.response->status);
+}
+
+auto EngineControl::report(std::string engine, std::string endpoint)
+    -> asio::awaitable<absl::StatusOr<version::waves::EngineReport>>
+{
+    auto request = http::Request();
+    request.target = "/v1/report";
+    request.headers = { { wireheaders::EXPECT_SERVER, engine } };
+    const auto result =
+        co_await callOver(m_pools.pool(engine, endpoint), std::move(request), CALL_TIME);
+    if (!result.response.ok())
+        co_return result.response.status();
+    const auto body = parseObject(result.response->body);
+    if (result.response->status != 200 || !body.has_value())
+        co_return base::makeError(absl::StatusCode::kUnavailable,
+                                  base::concat("status ", result.response->status),
+                                  { "engine.report", endpoint });
+    auto report = version::waves::EngineReport();
+    report.versions = readModelVersions(*body);
+    report.busy = boolField(*body, "busy").value_or(false);
+    report.sequence = wholeField(*body, "sequence").value_or(0);
+    co_return report;
+}
+
+} // namespace nutmegplank::platform
--- /dev/null
+++ b/src/platform/nodefile.cpp
@@ -0,0 +1,94 @@
+#include "platform/nodefile.h"
+
+#include <cmath>
+#include <cstdlib>
+
+#include "base/jsonreader.h"
+#include "process/settings/settings.h"
+
+namespace nutmegplank::platform {
+
+namespace {
+
+using process::settings::MachineSettings;
+
+constexpr auto PATH_VARIABLE = "NUTMEGPLANK_NODE_FILE";
+constexpr auto DEFAULT_PATH = "/etc/nutmegplank/node.json";
+constexpr auto LONGEST_SECONDS = 86400.0;
+constexpr auto MOST_BYTES = std::int64_t(1) << 30;
+
+auto readEndpoint(base::ObjectReader &reader, std::string_view field) -> std::string
+{
+    auto endpoint = reader.string(field);
+    if (reader.problem().ok() && !process::settings::isEndpoint(endpoint))
+        reader.fail(field, "must be \"IP number:port\"");
+    return endpoint;
+}
+
+auto readSeconds(base::ObjectReader &reader, std::string_view field, base::Duration fallback)
+    -> base::Duration
+{
+    const auto seconds =
+        reader.number(field, 0.0, LONGEST_SECONDS, base::toSeconds(fallback));
+    return base::Duration(std::llround(seconds * 1e6));
+}
+
+//! Unknown fields are no problem: the platform may add some.
+auto keepFirst(absl::Status &problem, const base::ObjectReader &reader) -> void
+{
+    if (problem.ok())
+        problem = reader.problem();
+}
+
+} // namespace
+
+auto nodeFilePath() -> std::string
+{
+    const auto *path = std::getenv(PATH_VARIABLE);
+    return path == nullptr ? DEFAULT_PATH : path;
+}
+
+auto readNodeFile(const std::string &path) -> absl::StatusOr<MachineSettings>
+{
+    const auto file = process::settings::readFile(path);
+    if (!file.ok())
+        return file.status();
+    auto reader = base::ObjectReader(*file, path);
+    auto settings = MachineSettings();
+    auto problem = absl::Status();
+    settings.node = reader.string("node_name");
+    settings.ip = reader.string("ip");
+    settings.zone = reader.string("zone");
+    settings.region = reader.string("region");
+    auto listen = reader.object("listen");
+    // "front" is where callers connect.
+    settings.callerEndpoint = readEndpoint(listen, "front");
+    settings.readinessEndpoint = readEndpoint(listen, "readiness");
+    settings.directoryEndpoint = readEndpoint(listen, "directory");
+    keepFirst(problem, listen);
+    auto store = reader.object("platform");
+    settings.storeEndpoint = readEndpoint(store, "address");
+    settings.appendLimits.recordBytes = static_cast<std::size_t>(
+        store.integer("record_bytes", { 1024, MOST_BYTES }, 262144));
+    settings.appendLimits.callBytes =
+        static_cast<std::size_t>(store.integer("call_bytes", { 1024, MOST_BYTES }, 2097152));
+    keepFirst(problem, store);
+    if (reader.has("cloud")) {
+        auto cloud = reader.object("cloud");
+        settings.cloudEndpoint = readEndpoint(cloud, "address");
+        keepFirst(problem, cloud);
+    }
+    auto bounds = reader.object("bounds");
+    settings.usageWindow = readSeconds(bounds, "usage_window_s", settings.usageWindow);
+    settings.grace = readSeconds(bounds, "grace_s", settings.grace);
+    settings.resultMemory = readSeconds(bounds, "status_s", settings.resultMemory);
+    settings.directoryTtl = readSeconds(bounds, "ttl_max_s", settings.directoryTtl);
+    settings.settle = std::chrono::milliseconds(bounds.integer("settle_ms", { 0, 600000 }, 1000));
+    keepFirst(problem, bounds);
+    keepFirst(problem, reader);
+    if (!problem.ok())
+        return problem;
+    return settings;
+}
+
+} // namespace nutmegplank::platform
--- /dev/null
+++ b/src/platform/platformduties.cpp
@@ -0,0 +1,87 @@
+#include "platform/platformduties.h"
+
+#include <boost/json.hpp>
+
+#include "base/text.h"
+#include "platform/platformcall.h"
+#include "platform/wireheaders.h"
+
+namespace nutmegplank::platform {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = connection::http;
+namespace json = boost::json;
+using process::capacity::DutyOutcome;
+
+//! The platform may answer fifty times slower than usual.
+constexpr auto CALL_TIME = std::chrono::milliseconds(1500);
+constexpr auto CONNECT_TIME = std::chrono::milliseconds(700);
+
+auto outcomeOf(std::uint32_t status) -> DutyOutcome
+{
+    switch (status) {
+    case 200:
+    case 202:
+        return DutyOutcome::Accepted;
+    case 409:
+        return DutyOutcome::Conflict;
+    case 429:
+    case 503:
+        return DutyOutcome::Busy;
+    default:
+        return DutyOutcome::Rejected;
+    }
+}
+
+} // namespace
+
+PlatformDuties::PlatformDuties(std::string endpoint, std::string holder)
+    : m_holder(std::move(holder))
+{
+    auto options = connection::backend::BackendPoolOptions();
+    options.connect.timeout = CONNECT_TIME;
+    m_pool = std::make_shared<connection::backend::BackendPool>(std::move(endpoint), options);
+}
+
+auto PlatformDuties::post(std::string path, std::string body, std::uint64_t fence)
+    -> asio::awaitable<DutyOutcome>
+{
+    auto request = http::Request();
+    request.method = "POST";
+    request.target = std::move(path);
+    request.headers = { { "Content-Type", "application/json" },
+                        { wireheaders::HOLDER, m_holder },
+                        { wireheaders::FENCE, std::to_string(fence) } };
+    request.body = std::move(body);
+    const auto result = co_await callOver(m_pool, std::move(request), CALL_TIME);
+    if (!result.response.ok())
+        co_return result.sent ? DutyOutcome::NoAnswer : DutyOutcome::Busy;
+    co_return outcomeOf(result.response->status);
+}
+
+auto PlatformDuties::reportUsage(version::metering::ClosedWindow window, std::uint64_t fence)
+    -> asio::awaitable<DutyOutcome>
+{
+    auto counts = json::object();
+    for (const auto &[workspace, requests] : window.counts)
+        counts[workspace] = requests;
+    auto body = json::object();
+    body["window_id"] = window.window;
+    body["counts"] = std::move(counts);
+    return post("/usage", json::serialize(body), fence);
+}
+
+auto PlatformDuties::orderServers(process::capacity::CapacityOrder order, std::uint64_t fence)
+    -> asio::awaitable<DutyOutcome>
+{
+    auto body = json::object();
+    body["service"] = order.service;
+    body["zone"] = order.zone;
+    // "group_count" holds the number of servers wanted in the zone.
+    body["group_count"] = order.count;
+    return post("/scale", json::serialize(body), fence);
+}
+
+} // namespace nutmegplank::platform
--- /dev/null
+++ b/src/platform/platformduties.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "connection/backend/backendpool.h"
+#include "process/capacity/iplatformduties.h"
+
+namespace nutmegplank::platform {
+
+//! Usage reports and orders of servers, as the platform spells them.
+class PlatformDuties : public process::capacity::IPlatformDuties
+{
+public:
+    PlatformDuties(std::string endpoint, std::string holder);
+
+    auto reportUsage(version::metering::ClosedWindow window, std::uint64_t fence)
+        -> boost::asio::awaitable<process::capacity::DutyOutcome> override;
+    auto orderServers(process::capacity::CapacityOrder order, std::uint64_t fence)
+        -> boost::asio::awaitable<process::capacity::DutyOutcome> override;
+
+private:
+    auto post(std::string path, std::string body, std::uint64_t fence)
+        -> boost::asio::awaitable<process::capacity::DutyOutcome>;
+
+    std::string m_holder;
+    std::shared_ptr<connection::backend::BackendPool> m_pool;
+};
+
+} // namespace nutmegplank::platform
--- /dev/null
+++ b/src/platform/serverprotocol.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "request/serverprotocol/iserverprotocol.h"
+
+namespace nutmegplank::platform {
+
+//! Requests to backend servers and their answers, as the platform spells them.
+class ServerProtocol : public request::serverprotocol::IServerProtocol
+{
+public:
+    auto seal(connection::http::Request &request,
+              const request::serverprotocol::Envelope &envelope) const -> void override;
+    auto readHead(const connection::http::Response &head) const
+        -> request::serverprotocol::AnswerHead override;
+    auto versionField() const -> std::string override;
+};
+
+} // namespace nutmegplank::platform
--- /dev/null
+++ b/src/platform/storeclient.cpp
@@ -0,0 +1,231 @@
+#include "platform/storeclient.h"
+
+#include "base/base64.h"
+#include "base/status.h"
+#include "base/text.h"
+#include "platform/jsonfields.h"
+#include "process/clock/clock.h"
+
+namespace nutmegplank::platform {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = connection::http;
+namespace journal = version::journal;
+using journal::AppendOutcome;
+
+constexpr auto CONNECT_TIME = std::chrono::milliseconds(700);
+//! The store answers in 4 ms, sixty times slower on a bad day; a connection that says nothing for
+//! this long beyond the wait asked for is silent.
+constexpr auto READ_GRACE = std::chrono::milliseconds(1000);
+constexpr auto USER_TIMEOUT = std::chrono::milliseconds(2500);
+constexpr auto MOST_KILOBYTES = 1024;
+constexpr auto STATUS_OK = 200U;
+constexpr auto STATUS_CONFLICT = 409U;
+constexpr auto STATUS_GONE = 410U;
+constexpr auto STATUS_PRECONDITION = 412U;
+constexpr auto STATUS_UNAVAILABLE = 503U;
+constexpr auto STATUS_TOO_MANY = 429U;
+constexpr auto NUMBER_BYTES = std::size_t(8);
+constexpr auto LENGTH_BYTES = std::size_t(4);
+
+auto putLength(std::string &output, std::size_t length) -> void
+{
+    for (auto shift = 24; shift >= 0; shift -= 8)
+        output += static_cast<char>((length >> shift) & 0xFFU);
+}
+
+auto takeNumber(std::string_view bytes) -> std::uint64_t
+{
+    auto number = std::uint64_t(0);
+    for (const auto byte : bytes)
+        number = (number << 8U) | static_cast<std::uint8_t>(byte);
+    return number;
+}
+
+//! Reads are raw: end and first retained offset, then each record with its length before it.
+auto parsePage(std::string_view body, std::uint64_t from) -> std::optional<journal::Page>
+{
+    if (body.size() < 2 * NUMBER_BYTES)
+        return std::nullopt;
+    auto page = journal::Page();
+    page.end = takeNumber(body.substr(0, NUMBER_BYTES));
+    page.first = takeNumber(body.substr(NUMBER_BYTES, NUMBER_BYTES));
+    body.remove_prefix(2 * NUMBER_BYTES);
+    auto offset = from;
+    while (body.size() >= LENGTH_BYTES) {
+        const auto length = takeNumber(body.substr(0, LENGTH_BYTES));
+        if (body.size() < LENGTH_BYTES + length)
+            return std::nullopt;
+        page.records.push_back({ offset++, std::string(body.substr(LENGTH_BYTES, length)) });
+        body.remove_prefix(LENGTH_BYTES + length);
+    }
+    return page;
+}
+
+auto refusedAppend(const http::Response &response) -> journal::AppendResult
+{
+    auto result = journal::AppendResult();
+    result.detail = base::concat("status ", response.status);
+    const auto body = parseObject(response.body).value_or(boost::json::object());
+    switch (response.status) {
+    case STATUS_PRECONDITION:
+        result.outcome = AppendOutcome::Conflict;
+        result.end = wholeField(body, "end").value_or(0);
+        return result;
+    case STATUS_CONFLICT: {
+        const auto why = textField(body, "why").value_or("");
+        result.outcome = why == "seq" ? AppendOutcome::Sequence : AppendOutcome::Fenced;
+        result.end = wholeField(body, "sequence").value_or(0);
+        result.detail = base::concat("status 409, ", why);
+        return result;
+    }
+    default:
+        // 429, 503, 507 and the like: the store has done nothing.
+        result.outcome = AppendOutcome::NotDone;
+        return result;
+    }
+}
+
+} // namespace
+
+StoreClient::StoreClient(std::string endpoint, journal::AppendLimits limits,
+                         process::metrics::Registry &metrics)
+    : m_endpoint(std::move(endpoint))
+    , m_limits(limits)
+    , m_calls(metrics.counter("nutmegplank_store_calls_total", "Calls to the platform's store."))
+    , m_failures(metrics.counter("nutmegplank_store_failures_total",
+                                 "Calls to the platform's store without a good answer."))
+    , m_appendSeconds(
+          metrics.distribution("nutmegplank_store_append_seconds", "Duration of appends."))
+{
+    auto options = connection::backend::BackendPoolOptions();
+    options.connect.timeout = CONNECT_TIME;
+    options.connect.userTimeout = USER_TIMEOUT;
+    m_pool = std::make_shared<connection::backend::BackendPool>(m_endpoint, options);
+}
+
+auto StoreClient::call(http::Request request, base::Duration timeout) -> asio::awaitable<CallResult>
+{
+    m_calls.add();
+    auto exchange = co_await callOver(m_pool, std::move(request), timeout);
+    if (!exchange.response.ok()) {
+        m_failures.add();
+        // What happened to one connection may have happened to all of them.
+        m_pool->clear();
+    } else if (exchange.response->status == STATUS_UNAVAILABLE
+               || exchange.response->status == STATUS_TOO_MANY) {
+        m_failures.add();
+    }
+    co_return exchange;
+}
+
+auto StoreClient::append(journal::Partition partition, std::vector<std::string> records,
+                         journal::AppendCondition condition, base::Duration timeout)
+    -> asio::awaitable<journal::AppendResult>
+{
+    auto request = http::Request();
+    request.method = "POST";
+    request.target =
+        base::concat("/v1/log-append?topic=", partition.topic, "&part=", partition.number);
+    if (condition.at.has_value())
+        request.target += base::concat("&at=", *condition.at);
+    if (condition.producer.has_value())
+        request.target +=
+            base::concat("&producer=", condition.producer->name, "&epoch=",
+                         condition.producer->epoch, "&sequence=", condition.producer->sequence);
+    for (const auto &record : records) {
+        putLength(request.body, record.size());
+        request.body += record;
+    }
+    const auto startedAt = process::clock::now();
+    auto exchange = co_await call(std::move(request), timeout);
+    m_appendSeconds.record(process::clock::now() - startedAt);
+    auto result = journal::AppendResult();
+    if (!exchange.response.ok()) {
+        result.outcome = exchange.sent ? AppendOutcome::Unknown : AppendOutcome::NotDone;
+        result.detail = base::describe(exchange.response.status());
+        co_return result;
+    }
+    if (exchange.response->status != STATUS_OK)
+        co_return refusedAppend(*exchange.response);
+    const auto body = parseObject(exchange.response->body).value_or(boost::json::object());
+    result.outcome = AppendOutcome::Done;
+    result.offset = wholeField(body, "offset").value_or(0);
+    result.end = wholeField(body, "end").value_or(0);
+    co_return result;
+}
+
+auto StoreClient::read(journal::Partition partition, std::uint64_t from, base::Duration wait)
+    -> asio::awaitable<absl::StatusOr<journal::Page>>
+{
+    auto request = http::Request();
+    request.target =
+        base::concat("/v1/log-read?topic=", partition.topic, "&part=", partition.number,
+                     "&from=", from, "&max_kb=", MOST_KILOBYTES);
+    if (wait.count() > 0)
+        request.target += base::concat("&wait_ms=", base::toMilliseconds(wait));
+    const auto exchange = co_await call(std::move(request), wait + READ_GRACE);
+    if (!exchange.response.ok())
+        co_return exchange.response.status();
+    const auto &response = *exchange.response;
+    if (response.status == STATUS_GONE) {
+        const auto body = parseObject(response.body).value_or(boost::json::object());
+        auto page = journal::Page();
+        page.first = wholeField(body, "first").value_or(from);
+        page.compacted = true;
+        co_return page;
+    }
+    if (response.status != STATUS_OK)
+        co_return base::makeError(absl::StatusCode::kUnavailable,
+                                  base::concat("status ", response.status),
+                                  { "store.read", m_endpoint });
+    auto page = parsePage(response.body, from);
+    if (!page.has_value())
+        co_return base::makeError(absl::StatusCode::kUnavailable, "malformed records",
+                                  { "store.read", m_endpoint });
+    co_return std::move(*page);
+}
+
+auto StoreClient::newest(std::string topic)
+    -> asio::awaitable<absl::StatusOr<journal::KeyedPage>>
+{
+    auto snapshot = journal::KeyedPage();
+    auto after = std::string();
+    auto firstPage = true;
+    while (true) {
+        auto request = http::Request();
+        request.target = base::concat("/v1/log-newest?topic=", topic, "&part=0");
+        if (!after.empty())
+            request.target += base::concat("&after=", after);
+        const auto exchange = co_await call(std::move(request), READ_GRACE);
+        if (!exchange.response.ok())
+            co_return exchange.response.status();
+        const auto body = parseObject(exchange.response->body);
+        if (exchange.response->status != STATUS_OK || !body.has_value())
+            co_return base::makeError(absl::StatusCode::kUnavailable,
+                                      base::concat("status ", exchange.response->status),
+                                      { "store.newest", m_endpoint });
+        // Pages are no snapshot: reading on from the first page's end misses nothing.
+        if (std::exchange(firstPage, false))
+            snapshot.end = wholeField(*body, "end").value_or(0);
+        const auto *items = arrayField(*body, "items");
+        for (const auto &value : items == nullptr ? boost::json::array() : *items) {
+            const auto *item = value.if_object();
+            if (item == nullptr)
+                continue;
+            auto record = journal::KeyedRecord();
+            record.key = textField(*item, "key").value_or("");
+            record.value =
+                base::decodeBase64(textField(*item, "value").value_or("")).value_or("");
+            record.offset = wholeField(*item, "offset").value_or(0);
+            after = record.key;
+            snapshot.records.push_back(std::move(record));
+        }
+        if (!boolField(*body, "has_more").value_or(false))
+            co_return snapshot;
+    }
+}
+
+} // namespace nutmegplank::platform
--- /dev/null
+++ b/src/process/health/serverhealth.cpp
@@ -0,0 +1,85 @@
+#include "process/health/serverhealth.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "process/logging/logging.h"
+
+namespace nutmegplank::process::health {
+
+namespace {
+
+//! The span over which a cold server's requests are counted.
+constexpr auto COLD_SPAN = std::chrono::milliseconds(1100);
+constexpr auto UNLIMITED = std::numeric_limits<std::uint32_t>::max();
+
+} // namespace
+
+auto ServerHealth::startsLeft(const std::string &server, base::TimePoint coldUntil,
+                              const ColdRule &rule, base::TimePoint now) const -> std::uint32_t
+{
+    const auto found = m_entries.find(server);
+    const auto entry = found == m_entries.end() ? Entry() : found->second;
+    if (now < entry.pausedUntil || now < entry.fullUntil)
+        return 0;
+    if (rule.perSecond <= 0 || (now >= coldUntil && now >= entry.coldUntil))
+        return UNLIMITED;
+    const auto recent = std::ranges::count_if(
+        entry.starts, [now](base::TimePoint start) { return now - start < COLD_SPAN; });
+    const auto allowed = static_cast<std::ptrdiff_t>(std::max(1.0, rule.perSecond));
+    return recent < allowed ? static_cast<std::uint32_t>(allowed - recent) : 0;
+}
+
+auto ServerHealth::paused(const std::string &server, base::TimePoint now) const -> bool
+{
+    const auto found = m_entries.find(server);
+    return found != m_entries.end() && now < found->second.pausedUntil;
+}
+
+auto ServerHealth::noteStart(const std::string &server, base::TimePoint now) -> void
+{
+    auto &starts = m_entries[server].starts;
+    while (!starts.empty() && now - starts.front() >= COLD_SPAN)
+        starts.pop_front();
+    starts.push_back(now);
+}
+
+auto ServerHealth::noteAnswer(const std::string &server) -> void
+{
+    auto &entry = m_entries[server];
+    if (entry.losses > 0)
+        logging::info("server.regained", { { "server", server }, { "losses", entry.losses } });
+    entry.losses = 0;
+    entry.pausedUntil = {};
+}
+
+auto ServerHealth::noteFull(const std::string &server, base::TimePoint now) -> void
+{
+    m_entries[server].fullUntil = now + m_times.fullPause;
+}
+
+auto ServerHealth::noteWrongServer(const std::string &server, base::TimePoint now) -> void
+{
+    m_entries[server].pausedUntil = now + m_times.wrongServerPause;
+    logging::warning("server.address_reused", { { "server", server } });
+}
+
+auto ServerHealth::noteLost(const std::string &server, const ColdRule &rule, base::TimePoint now)
+    -> void
+{
+    auto &entry = m_entries[server];
+    // Many requests lose their connections at one moment; that is one loss.
+    if (now < entry.pausedUntil)
+        return;
+    const auto doublings = std::min(entry.losses, 5U);
+    const auto pause = std::min<base::Duration>(m_times.firstPause * (1 << doublings),
+                                                m_times.longestPause);
+    ++entry.losses;
+    entry.pausedUntil = now + pause;
+    entry.coldUntil = now + pause + rule.coldStart;
+    logging::warning("server.lost", { { "server", server },
+                                      { "losses", entry.losses },
+                                      { "pause_ms", base::toMilliseconds(pause) } });
+}
+
+} // namespace nutmegplank::process::health
--- /dev/null
+++ b/src/process/health/serverhealth.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+#include "base/timepoint.h"
+
+//! Backend servers as requests find them; what a server says of itself stands in the server table.
+namespace nutmegplank::process::health {
+
+struct HealthTimes
+{
+    //! First pause after a lost connection; doubles with each further one.
+    base::Duration firstPause = std::chrono::milliseconds(300);
+    base::Duration longestPause = std::chrono::seconds(3);
+    //! After "full": about the time in which one place becomes free.
+    base::Duration fullPause = std::chrono::milliseconds(60);
+    //! After an answer that another server has the address now.
+    base::Duration wrongServerPause = std::chrono::seconds(2);
+};
+
+//! What a cold server bears, as seen by this process.
+struct ColdRule
+{
+    double perSecond = 0; //!< This process's share; 0 when servers of the service are never cold.
+    base::Duration coldStart { 0 };
+};
+
+//! Not safe for several threads.
+class ServerHealth
+{
+public:
+    explicit ServerHealth(HealthTimes times = {})
+        : m_times(times)
+    { }
+
+    //! How many requests the server may get now. \a coldUntil: by its own word.
+    auto startsLeft(const std::string &server, base::TimePoint coldUntil, const ColdRule &rule,
+                    base::TimePoint now) const -> std::uint32_t;
+    //! Whether this process holds the server for unreachable.
+    auto paused(const std::string &server, base::TimePoint now) const -> bool;
+    auto noteStart(const std::string &server, base::TimePoint now) -> void;
+    auto noteAnswer(const std::string &server) -> void;
+    auto noteFull(const std::string &server, base::TimePoint now) -> void;
+    auto noteWrongServer(const std::string &server, base::TimePoint now) -> void;
+    //! Refused, reset or silent: it may have restarted, and is cold then.
+    auto noteLost(const std::string &server, const ColdRule &rule, base::TimePoint now) -> void;
+    auto forget(const std::string &server) -> void { m_entries.erase(server); }
+
+private:
+    struct Entry
+    {
+        std::uint32_t losses = 0; //!< In a row.
+        base::TimePoint pausedUntil {};
+        base::TimePoint fullUntil {};
+        base::TimePoint coldUntil {};
+        std::deque<base::TimePoint> starts; //!< Of the last second.
+    };
+
+    HealthTimes m_times;
+    std::unordered_map<std::string, Entry> m_entries;
+};
+
+} // namespace nutmegplank::process::health
--- a/src/process/logging/logging.cpp
+++ b/src/process/logging/logging.cpp
@@ -6,6 +6,7 @@
 #include <log4cplus/loggingmacros.h>
 
 #include "base/enumtable.h"
+#include "process/logging/internal/boundedappender.h"
 #include "process/logging/internal/jsonlayout.h"
 
 namespace nutmegplank::process::logging {
@@ -35,6 +36,35 @@
 }
 
 std::atomic<int> s_threshold { log4cplus::OFF_LOG_LEVEL };
+std::atomic<bool> s_bounded { false };
+
+//! Lines of one level in the current second.
+struct LineBudget
+{
+    std::atomic<std::int64_t> second { 0 };
+    std::atomic<int> lines { 0 };
+    std::atomic<int> dropped { 0 };
+};
+
+std::array<LineBudget, 4> s_budgets;
+
+//! Whether one more line of \a level may be written in this second. \a dropped: lines left out
+//! before it.
+auto takeBudget(Level level, int &dropped) -> bool
+{
+    auto &budget = s_budgets[static_cast<std::size_t>(level)];
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+                            std::chrono::steady_clock::now().time_since_epoch())
+                            .count();
+    if (budget.second.exchange(second) != second)
+        budget.lines = 0;
+    if (++budget.lines > LINES_PER_SECOND) {
+        ++budget.dropped;
+        return false;
+    }
+    dropped = budget.dropped.exchange(0);
+    return true;
+}
 
 auto logger() -> log4cplus::Logger &
 {
@@ -42,12 +72,9 @@
     return instance;
 }
 
-} // namespace
-
-auto start(std::string_view program, std::string_view node, std::string_view level) -> void
+auto install(log4cplus::SharedAppenderPtr appender, std::string_view program,
+             std::string_view node, std::string_view level) -> void
 {
-    log4cplus::initialize();
-    auto appender = log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
     appender->setLayout(std::make_unique<JsonLayout>(std::string(program), std::string(node)));
     logger().setAdditivity(false);
     logger().removeAllAppenders();
@@ -57,9 +84,36 @@
     s_threshold = threshold;
 }
 
+BoundedAppender *s_appender = nullptr; //!< Owned by the logger.
+
+} // namespace
+
+auto start(std::string_view program, std::string_view node, std::string_view level) -> void
+{
+    log4cplus::initialize();
+    install(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)), program, node,
+            level);
+}
+
+auto startBounded(std::string_view program, std::string_view node, std::string_view level) -> void
+{
+    log4cplus::initialize();
+    s_appender = new BoundedAppender();
+    s_bounded = true;
+    install(log4cplus::SharedAppenderPtr(s_appender), program, node, level);
+}
+
+auto flush() -> void
+{
+    if (s_appender != nullptr)
+        s_appender->flush();
+}
+
 auto stop() -> void
 {
     s_threshold = log4cplus::OFF_LOG_LEVEL;
+    flush();
+    s_appender = nullptr;
     logger().removeAllAppenders();
 }
 
@@ -67,7 +121,12 @@
 {
     if (nativeLevel(level) < s_threshold.load(std::memory_order_relaxed))
         return;
+    auto dropped = 0;
+    if (s_bounded && !takeBudget(level, dropped))
+        return;
     auto object = boost::json::object();
+    if (dropped > 0)
+        object["lines_left_out"] = dropped;
     object["event"] = event;
     for (const auto &field : fields)
         object[field.name] = field.value;
--- /dev/null
+++ b/src/process/settings/machinesettings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/timepoint.h"
+#include "version/journal/ijournal.h"
+
+namespace nutmegplank::process::settings {
+
+//! What a machine is told about itself and about the platform; an endpoint is "IP number:port".
+struct MachineSettings
+{
+    std::string node; //!< Unique name of the machine.
+    std::string ip;
+    std::string zone;
+    std::string region;
+    std::string callerEndpoint;    //!< Where callers connect.
+    std::string readinessEndpoint; //!< Where the platform asks whether the machine is ready.
+    std::string directoryEndpoint; //!< Where callers ask which machines to use.
+    std::string storeEndpoint;
+    std::string cloudEndpoint; //!< Takes usage reports and orders of servers; may be empty.
+    version::journal::AppendLimits appendLimits;
+    base::Duration usageWindow = std::chrono::seconds(5);
+    base::Duration grace = std::chrono::seconds(8); //!< From SIGTERM to SIGKILL.
+    base::Duration settle = std::chrono::seconds(1); //!< After a 202 the batch is known everywhere.
+    base::Duration resultMemory = std::chrono::seconds(120); //!< Results are kept this long.
+    base::Duration directoryTtl = std::chrono::seconds(5);   //!< Longest that counts.
+};
+
+} // namespace nutmegplank::process::settings
--- /dev/null
+++ b/src/request/forward/serverpicker.cpp
@@ -0,0 +1,48 @@
+#include "request/forward/serverpicker.h"
+
+#include <limits>
+
+namespace nutmegplank::request::forward {
+
+namespace {
+
+//! Assumed until a server has answered.
+constexpr auto DEFAULT_LATENCY_MS = 25.0;
+//! What another server than the preferred one costs: a new connection, in milliseconds.
+constexpr auto STRANGER_MS = 30.0;
+constexpr auto OTHER_ZONE_MS = 3.0;
+
+auto costOf(const ServerCandidate &candidate) -> double
+{
+    const auto latency = candidate.latency.count() > 0
+        ? static_cast<double>(candidate.latency.count()) / 1000.0
+        : DEFAULT_LATENCY_MS;
+    auto cost = latency * (1.0 + candidate.outstanding);
+    if (!candidate.preferred)
+        cost += STRANGER_MS;
+    if (!candidate.sameZone)
+        cost += OTHER_ZONE_MS;
+    return cost;
+}
+
+} // namespace
+
+auto pickServer(const std::vector<ServerCandidate> &candidates) -> std::optional<std::size_t>
+{
+    auto best = std::optional<std::size_t>();
+    auto bestCost = std::numeric_limits<double>::max();
+    for (auto index = std::size_t(0); index < candidates.size(); ++index) {
+        const auto &candidate = candidates[index];
+        if (candidate.tried || candidate.startsLeft == 0
+            || candidate.outstanding >= candidate.limit)
+            continue;
+        const auto cost = costOf(candidate);
+        if (cost >= bestCost)
+            continue;
+        best = index;
+        bestCost = cost;
+    }
+    return best;
+}
+
+} // namespace nutmegplank::request::forward
--- /dev/null
+++ b/src/request/rollout/eventreader.cpp
@@ -0,0 +1,77 @@
+#include "request/rollout/eventreader.h"
+
+#include <charconv>
+
+namespace nutmegplank::request::rollout {
+
+namespace {
+
+auto parseNumber(std::string_view text) -> std::optional<std::uint64_t>
+{
+    auto number = std::uint64_t(0);
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+auto EventReader::feed(std::string_view bytes) -> std::optional<std::vector<Event>>
+{
+    m_rest += bytes;
+    auto events = std::vector<Event>();
+    auto begin = std::size_t(0);
+    for (auto end = m_rest.find('\n'); end != std::string::npos; end = m_rest.find('\n', begin)) {
+        auto line = std::string_view(m_rest).substr(begin, end - begin);
+        begin = end + 1;
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (!line.empty()) {
+            if (!readLine(line))
+                return std::nullopt;
+            continue;
+        }
+        if (!m_open)
+            continue;
+        if (!m_hasId)
+            return std::nullopt;
+        events.push_back(std::move(m_event));
+        m_event = {};
+        m_open = m_hasId = m_hasData = false;
+    }
+    m_rest.erase(0, begin);
+    return events;
+}
+
+auto EventReader::readLine(std::string_view line) -> bool
+{
+    const auto colon = line.find(':');
+    if (colon == 0)
+        return true;
+    const auto name = line.substr(0, colon);
+    auto value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
+    if (value.starts_with(' '))
+        value.remove_prefix(1);
+    m_open = true;
+    if (name == "data") {
+        if (m_hasData)
+            m_event.data += '\n';
+        m_event.data += value;
+        m_hasData = true;
+        return true;
+    }
+    if (name == "id") {
+        const auto id = parseNumber(value);
+        m_event.id = id.value_or(0);
+        m_hasId = id.has_value();
+        return m_hasId;
+    }
+    if (name == m_versionField) {
+        m_event.weightVersion = parseNumber(value);
+        return m_event.weightVersion.has_value();
+    }
+    return true;
+}
+
+} // namespace nutmegplank::request::rollout
--- /dev/null
+++ b/src/request/rollout/rolloutexecutor.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "connection/backend/backendpools.h"
+#include "process/health/serverhealth.h"
+#include "process/metrics/metrics.h"
+#include "process/servers/servertable.h"
+#include "request/rollout/enginestate.h"
+#include "request/rollout/itemrun.h"
+#include "request/rollout/placement.h"
+#include "version/batch/batch.h"
+#include "version/routing/routingtable.h"
+
+namespace nutmegplank::request::rollout {
+
+//! What the executor works with; all of it outlives the executor.
+struct ExecutorParts
+{
+    boost::asio::io_context &context;
+    process::servers::ServerTable &servers;
+    process::health::ServerHealth &health;
+    connection::backend::BackendPools &pools;
+    EngineStates &engines;
+    const serverprotocol::IServerProtocol &protocol;
+    process::metrics::Registry &metrics;
+    std::function<version::routing::RoutingTablePtr()> routing;
+    std::function<base::TimePoint()> now;
+    std::function<std::int64_t()> trueMs; //!< Milliseconds since 1970.
+    //! Takes a finished item; it is listed once it has come back through the log.
+    std::function<void(const std::string &batch, version::batch::Result result)> onFinished;
+};
+
+//! Runs the items of all open batches while this process is in charge. Not safe for several
+//! threads.
+class RolloutExecutor
+{
+public:
+    explicit RolloutExecutor(ExecutorParts parts);
+
+    auto start() -> void;
+    //! Ends all runs; what they have made is dropped.
+    auto stop(std::string_view reason) -> void;
+    auto active() const -> bool { return m_active; }
+
+    auto addBatch(const version::batch::Batch &batch) -> void;
+    auto endBatch(const std::string &id) -> void;
+    //! Looks again soon: a server, a place or a version has changed.
+    auto wake() -> void;
+
+    //! Open work by model: expected output tokens of items that are not done.
+    auto demand() const -> std::map<std::string, double>;
+    //! The oldest weights that items of an open batch of \a model may use; 0 when there are none.
+    auto neededVersion(const std::string &model) const -> std::uint64_t;
+    auto runningAt(const std::string &engine) const -> std::uint32_t;
+
+private:
+    enum class ItemState {
+        Waiting,
+        Running,
+        Done,
+    };
+
+    struct ItemWork
+    {
+        ItemState state = ItemState::Waiting;
+        std::shared_ptr<Transcript> transcript;
+        std::shared_ptr<ItemRun> run;
+        std::string engine; //!< Of the current run.
+        std::string avoid;
+        std::uint32_t failures = 0;   //!< The engine ran it and failed.
+        std::uint32_t rejections = 0; //!< The engine says that it can't be done.
+        std::uint32_t losses = 0;     //!< Connections lost while it ran.
+        std::uint32_t seenEvents = 0; //!< Of the current run, for the engine's pace.
+        base::TimePoint seenAt {};
+        base::TimePoint notBefore {};
+    };
+
+    struct BatchWork
+    {
+        std::string id;
+        const version::batch::Batch *batch = nullptr; //!< The batch log keeps it while it is open.
+        std::vector<ItemWork> items;
+        base::TimePoint dueAt {};
+        std::int64_t giveUpAtMs = 0;
+    };
+
+    struct ItemKey
+    {
+        std::string batch;
+        std::size_t item = 0;
+    };
+
+    auto tickLoop() -> boost::asio::awaitable<void>;
+    auto tick() -> void;
+    auto place() -> void;
+    auto collectWaiting(std::vector<WaitingItem> &waiting, std::vector<ItemKey> &keys) -> void;
+    auto collectEngines() -> std::vector<EngineLoad>;
+    auto startRun(const ItemKey &key, const EngineLoad &engine) -> void;
+    auto runItem(ItemKey key, std::shared_ptr<ItemRun> run, process::servers::Server server)
+        -> boost::asio::awaitable<void>;
+    auto finishRun(const ItemKey &key, const process::servers::Server &server,
+                   const RunOutcome &outcome) -> void;
+    auto noteServer(const process::servers::Server &server, const ItemWork &item,
+                    const RunOutcome &outcome) -> void;
+    auto settle(BatchWork &batch, std::size_t index, const RunOutcome &outcome) -> void;
+    auto finish(BatchWork &batch, std::size_t index, bool lost, std::string_view reason) -> void;
+    auto watchRuns() -> void;
+    auto watchRun(BatchWork &batch, std::size_t index) -> void;
+    auto giveUpExpired() -> void;
+    auto expectedOutput(const BatchWork &batch, std::size_t index) const -> std::uint64_t;
+    auto coldRule(const std::string &service) const -> process::health::ColdRule;
+    auto routeOf(const BatchWork &batch, std::size_t index) const
+        -> const version::routing::Route *;
+
+    ExecutorParts m_parts;
+    std::map<std::string, BatchWork> m_batches;
+    std::map<std::string, std::uint32_t> m_running; //!< By engine.
+    version::routing::RoutingTablePtr m_table;      //!< As of this tick.
+    boost::asio::steady_timer m_timer;
+    process::metrics::Counter &m_completed;
+    process::metrics::Counter &m_lostItems;
+    process::metrics::Counter &m_runs;
+    process::metrics::Distribution &m_itemSeconds;
+    bool m_active = false;
+    bool m_woken = false;
+    std::uint64_t m_generation = 0;
+};
+
+} // namespace nutmegplank::request::rollout
--- /dev/null
+++ b/src/version/batch/batchlog.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "version/batch/batch.h"
+#include "version/journal/ijournal.h"
+#include "version/records/records.pb.h"
+
+namespace nutmegplank::version::batch {
+
+//! What changed; all hooks may be empty.
+struct BatchLogHooks
+{
+    std::function<void(const Batch &batch)> onAccepted;
+    std::function<void(const Batch &batch)> onResults;
+    std::function<void(const Batch &batch)> onEnded;
+};
+
+//! The batches by replay of their records. Deterministic: after the same offset all processes hold
+//! the same batches with the same results at the same positions. Not safe for several threads.
+class BatchLog
+{
+public:
+    explicit BatchLog(BatchLogHooks hooks = {})
+        : m_hooks(std::move(hooks))
+    { }
+
+    auto apply(const journal::Record &record) -> void;
+    //! Null when no such batch is known.
+    auto find(const std::string &id) const -> const Batch *;
+    auto all() const -> const std::map<std::string, std::unique_ptr<Batch>> & { return m_batches; }
+    //! Forgets batches that are done with and were submitted before \a submittedBeforeMs (true
+    //! time).
+    auto forget(std::int64_t submittedBeforeMs) -> void;
+    //! Bytes of bodies and texts that are held.
+    auto bytes() const -> std::size_t { return m_bytes; }
+
+private:
+    struct Parts
+    {
+        std::vector<std::string> data;
+        std::size_t present = 0;
+    };
+
+    auto applyPart(const record::SubmissionPart &part, std::uint64_t offset) -> void;
+    auto accept(Submission submission) -> void;
+    auto applyResults(const record::Results &results) -> void;
+    auto applyEnd(const std::string &id) -> void;
+    auto releaseBody(Item &item) -> void;
+
+    BatchLogHooks m_hooks;
+    std::map<std::string, std::unique_ptr<Batch>> m_batches;
+    std::map<std::string, Parts> m_parts; //!< Incomplete submissions by attempt.
+    std::set<std::string> m_endedEarly;   //!< Ends that were read before their batch.
+    std::size_t m_bytes = 0;
+};
+
+} // namespace nutmegplank::version::batch
--- /dev/null
+++ b/src/version/journal/follower.cpp
@@ -0,0 +1,154 @@
+#include "version/journal/follower.h"
+
+#include <boost/asio.hpp>
+
+#include "base/status.h"
+#include "process/clock/clock.h"
+#include "process/logging/logging.h"
+
+namespace nutmegplank::version::journal {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace logging = process::logging;
+
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+auto pauseFor(base::Duration duration) -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(USE_TUPLE);
+}
+
+} // namespace
+
+Follower::Follower(asio::io_context &context, IJournal &journal, FollowerOptions options,
+                   FollowerHooks hooks)
+    : m_context(context)
+    , m_journal(journal)
+    , m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_reachability(m_options.partition)
+{ }
+
+auto Follower::start(std::uint64_t from) -> void
+{
+    m_position = from;
+    asio::co_spawn(m_context, run(), asio::detached);
+}
+
+auto Follower::run() -> asio::awaitable<void>
+{
+    while (true) {
+        const auto page =
+            co_await m_journal.read(m_options.partition, m_position, m_options.wait);
+        const auto now = process::clock::now();
+        if (!page.ok()) {
+            m_reachability.noteSilence(page.status(), now);
+            co_await pauseFor(m_reachability.backOff());
+            continue;
+        }
+        m_reachability.noteAnswer(now);
+        take(*page, now);
+        if (m_caughtUp && m_options.pause.count() > 0)
+            co_await pauseFor(m_options.pause);
+    }
+}
+
+auto Follower::take(const Page &page, base::TimePoint now) -> void
+{
+    if (page.compacted) {
+        logging::warning("journal.gap",
+                         { { "topic", m_options.partition.topic },
+                           { "expected", m_position },
+                           { "first", page.first } });
+        m_position = page.first;
+        if (m_hooks.onGap)
+            m_hooks.onGap(page.first, now);
+        return;
+    }
+    for (const auto &record : page.records) {
+        // The position moves first: a hook may ask for it.
+        m_position = record.offset + 1;
+        m_hooks.onRecord(record, now);
+    }
+    m_caughtUp = m_position >= page.end;
+    if (m_caughtUp && m_hooks.onCaughtUp)
+        m_hooks.onCaughtUp(now);
+}
+
+KeyedFollower::KeyedFollower(asio::io_context &context, IJournal &journal, FollowerOptions options,
+                             KeyedFollowerHooks hooks)
+    : m_context(context)
+    , m_journal(journal)
+    , m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_reachability(m_options.partition)
+{ }
+
+auto KeyedFollower::start() -> void
+{
+    asio::co_spawn(m_context, run(), asio::detached);
+}
+
+auto KeyedFollower::run() -> asio::awaitable<void>
+{
+    auto needsSnapshot = true;
+    while (true) {
+        if (needsSnapshot)
+            needsSnapshot = !co_await readSnapshot();
+        else
+            needsSnapshot = co_await readNext();
+        if (!m_reachability.reachable())
+            co_await pauseFor(m_reachability.backOff());
+    }
+}
+
+auto KeyedFollower::readSnapshot() -> asio::awaitable<bool>
+{
+    const auto snapshot = co_await m_journal.newest(m_options.partition.topic);
+    const auto now = process::clock::now();
+    if (!snapshot.ok()) {
+        m_reachability.noteSilence(snapshot.status(), now);
+        co_return false;
+    }
+    m_reachability.noteAnswer(now);
+    auto keys = std::set<std::string>();
+    for (const auto &record : snapshot->records) {
+        keys.insert(record.key);
+        m_hooks.onRecord(record, now);
+    }
+    m_position = snapshot->end;
+    m_complete = true;
+    m_hooks.onSnapshot(keys, now);
+    co_return true;
+}
+
+//! True when history is gone and a snapshot is needed.
+auto KeyedFollower::readNext() -> asio::awaitable<bool>
+{
+    const auto page = co_await m_journal.read(m_options.partition, m_position, m_options.wait);
+    const auto now = process::clock::now();
+    if (!page.ok()) {
+        m_reachability.noteSilence(page.status(), now);
+        co_return false;
+    }
+    m_reachability.noteAnswer(now);
+    if (page->compacted)
+        co_return true;
+    for (const auto &record : page->records) {
+        m_position = record.offset + 1;
+        const auto keyed = splitKeyed(record);
+        if (keyed.has_value())
+            m_hooks.onRecord(*keyed, now);
+        else
+            logging::warning("journal.malformed",
+                             { { "topic", m_options.partition.topic },
+                               { "offset", record.offset } });
+    }
+    if (m_position >= page->end && m_options.pause.count() > 0)
+        co_await pauseFor(m_options.pause);
+    co_return false;
+}
+
+} // namespace nutmegplank::version::journal
