Orders to engines name the count of accepted orders, which only the report tells

Ruled out: the fencing number (accepted as 1). Change: an engine is asked once before its first order of an incarnation.

--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -150,7 +150,6 @@
         for (const auto &[model, version] : server.record.modelVersion)
             engine.versions[model] = std::max(
                 version, m_parts.engines.version(id, server.record.incarnation, model));
-        engine.sequence = server.record.orderSequence;
         engine.running = m_executor.runningAt(id);
         engine.reachable = !m_parts.health.paused(id, now);
         engines.push_back(std::move(engine));
--- a/src/platform/serverrecords.cpp
+++ b/src/platform/serverrecords.cpp
@@ -64,8 +64,7 @@
     record.slots = static_cast<std::uint32_t>(*slots);
     record.coldFor =
         std::chrono::milliseconds(wholeField(*object, "cold_remaining_ms").value_or(0));
-    // "sequence" counts accepted orders; it changes together with other fields.
-    record.orderSequence = wholeField(*object, "sequence").value_or(0);
+    // "sequence" counts the server's heartbeats here, unlike in its report.
     // "born" is the Unix millisecond of the server's start.
     record.incarnation = static_cast<std::int64_t>(wholeField(*object, "born").value_or(0));
     record.modelVersion = readModelVersions(*object);
--- a/src/process/servers/servertable.h
+++ b/src/process/servers/servertable.h
@@ -32,7 +32,6 @@
     ServerState state = ServerState::Ready;
     std::uint32_t slots = 1;
     base::Duration coldFor { 0 };                      //!< How much longer it stays cold.
-    std::uint64_t orderSequence = 0;                   //!< Orders that it has accepted.
     std::int64_t incarnation = 0;                      //!< Unix milliseconds of its start.
     std::map<std::string, std::uint64_t> modelVersion; //!< Weight version by model.
     bool spot = false;                                 //!< Cheap, and may be reclaimed.
--- a/src/version/waves/waverunner.cpp
+++ b/src/version/waves/waverunner.cpp
@@ -129,8 +129,13 @@
         auto entry = WaveEngine { engine.id, engine.versions, engine.running };
         entry.loading = m_open.contains(engine.id);
         const auto pause = m_notBefore.find(engine.id);
-        entry.orderable =
-            engine.reachable && (pause == m_notBefore.end() || now >= pause->second);
+        const auto accepted = m_accepted.find(engine.id);
+        const auto known =
+            accepted != m_accepted.end() && accepted->second.incarnation == engine.incarnation;
+        const auto paused = pause != m_notBefore.end() && now < pause->second;
+        entry.orderable = known && engine.reachable && !paused;
+        if (!known && engine.reachable && !paused && m_learning.insert(engine.id).second)
+            asio::co_spawn(m_context, learn(engine), asio::detached);
         inputs[engine.service].engines.push_back(std::move(entry));
     }
     for (auto &[service, input] : inputs) {
@@ -147,9 +152,7 @@
                                        wanted.version };
             order.strategy = m_hooks.strategy(service);
             order.fence = fence;
-            const auto shown = m_sequence.find(engine->id);
-            order.expectedSequence = std::max(
-                engine->sequence, shown == m_sequence.end() ? 0 : shown->second);
+            order.expectedSequence = m_accepted.at(engine->id).count;
             m_open[engine->id] = OpenOrder { order, engine->incarnation, now, now + FIRST_CHECK };
             m_hooks.onLoading(engine->id, true);
             asio::co_spawn(m_context, send(*engine, std::move(order)), asio::detached);
@@ -170,7 +173,7 @@
     case OrderOutcome::Accepted:
         found->second.answered = true;
         found->second.nextCheck = now + FIRST_CHECK;
-        m_sequence[order.engine] = order.expectedSequence.value_or(0) + 1;
+        m_accepted[order.engine] = { engine.incarnation, order.expectedSequence.value_or(0) + 1 };
         co_return;
     case OrderOutcome::AlreadyHolds:
         m_hooks.onVersion(engine, order.model, order.version);
@@ -194,6 +197,21 @@
     }
 }
 
+auto WaveRunner::learn(OrderableEngine engine) -> asio::awaitable<void>
+{
+    const auto report = co_await m_control.report(engine.id, engine.endpoint);
+    m_learning.erase(engine.id);
+    if (!report.ok()) {
+        m_notBefore[engine.id] = m_hooks.now() + RETRY_PAUSE;
+        logging::warning("weights.report_failed",
+                         { { "server", engine.id }, { "problem", base::describe(report.status()) } });
+        co_return;
+    }
+    m_accepted[engine.id] = { engine.incarnation, report->sequence };
+    for (const auto &[model, version] : report->versions)
+        m_hooks.onVersion(engine, model, version);
+}
+
 auto WaveRunner::check(OrderableEngine engine) -> asio::awaitable<void>
 {
     const auto report = co_await m_control.report(engine.id, engine.endpoint);
@@ -216,7 +234,7 @@
 auto WaveRunner::judge(const OrderableEngine &engine, const EngineReport &report,
                        base::TimePoint now) -> void
 {
-    m_sequence[engine.id] = report.sequence;
+    m_accepted[engine.id] = { engine.incarnation, report.sequence };
     for (const auto &[model, version] : report.versions)
         m_hooks.onVersion(engine, model, version);
     auto &open = m_open.at(engine.id);
--- a/src/version/waves/waverunner.h
+++ b/src/version/waves/waverunner.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -21,7 +22,6 @@
     std::string service;
     std::int64_t incarnation = 0;
     std::map<std::string, std::uint64_t> versions; //!< Newest that is known, by model.
-    std::uint64_t sequence = 0;                    //!< Orders accepted, by its own record.
     std::uint32_t running = 0;
     bool reachable = true;
 };
@@ -65,12 +65,21 @@
         bool asking = false;
     };
 
+    //! Orders that an engine has accepted since its start.
+    struct Accepted
+    {
+        std::int64_t incarnation = 0;
+        std::uint64_t count = 0;
+    };
+
     auto loop() -> boost::asio::awaitable<void>;
     auto tick(base::TimePoint now) -> void;
     auto followOpen(const std::vector<OrderableEngine> &engines, base::TimePoint now) -> void;
     auto planNew(const std::vector<OrderableEngine> &engines, std::uint64_t fence,
                  base::TimePoint now) -> void;
     auto send(OrderableEngine engine, WeightOrder order) -> boost::asio::awaitable<void>;
+    //! Asks an engine how many orders it has accepted, so that the first one can name that number.
+    auto learn(OrderableEngine engine) -> boost::asio::awaitable<void>;
     auto check(OrderableEngine engine) -> boost::asio::awaitable<void>;
     auto judge(const OrderableEngine &engine, const EngineReport &report, base::TimePoint now)
         -> void;
@@ -81,7 +90,8 @@
     WaveRunnerHooks m_hooks;
     std::map<std::string, WavePlanner> m_planners; //!< By service.
     std::map<std::string, OpenOrder> m_open;       //!< By engine.
-    std::map<std::string, std::uint64_t> m_sequence; //!< Newest that an engine has shown.
+    std::map<std::string, Accepted> m_accepted;    //!< By engine.
+    std::set<std::string> m_learning;              //!< Engines that are being asked.
     std::map<std::string, base::TimePoint> m_notBefore;
     std::uint64_t m_fencedOff = 0; //!< An engine has seen a higher number than this one of ours.
     process::metrics::Counter &m_orders;
