--- a/src/app/node/batchstore.cpp
+++ b/src/app/node/batchstore.cpp
@@ -14,6 +14,7 @@
 
 namespace asio = boost::asio;
 namespace journal = version::journal;
+using journal::AppendOutcome;
 using version::batch::Batch;
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
@@ -21,6 +22,12 @@
 constexpr auto LONG_POLL = std::chrono::milliseconds(1000);
 //! An append takes some milliseconds, sixty times as many on a bad day.
 constexpr auto APPEND_TIME = std::chrono::milliseconds(1500);
+//! An answer to a long poll may be this late before the log counts as silent.
+constexpr auto POLL_MARGIN = std::chrono::milliseconds(400);
+//! Bytes that a record or a result costs beside its content, at most.
+constexpr auto RECORD_OVERHEAD = std::size_t(256);
+//! Batches whose items are held in memory, for reads of bodies.
+constexpr auto RECENT_SUBMISSIONS = std::size_t(3);
 constexpr auto POSITION_CHECK = std::chrono::milliseconds(10);
 
 } // namespace
@@ -32,27 +39,28 @@
     , m_process(std::move(process))
     , m_log({ [this](const Batch &batch) {
                  process::logging::info("batch.read",
-                                        { { "batch", batch.submission.id },
-                                          { "items", batch.submission.items.size() },
-                                          { "offset", m_follower.position() - 1 },
-                                          { "held_bytes", m_log.bytes() } });
+                                        { { "batch", batch.head.id },
+                                          { "items", batch.itemCount() },
+                                          { "offset", m_follower.position() - 1 } });
                  if (m_hooks.onAccepted)
                      m_hooks.onAccepted(batch);
-                 wakeWaiters(batch.submission.id);
+                 wakeWaiters(batch.head.id);
              },
               [this](const Batch &batch) {
                   if (m_hooks.onResults)
                       m_hooks.onResults(batch);
-                  wakeWaiters(batch.submission.id);
+                  wakeWaiters(batch.head.id);
               },
               [this](const Batch &batch) {
                   if (m_hooks.onEnded)
                       m_hooks.onEnded(batch);
-                  wakeWaiters(batch.submission.id);
+                  wakeWaiters(batch.head.id);
               } })
-    , m_follower(context, store, { partitionFor(PartitionUse::Batches), LONG_POLL },
+    , m_follower(context, store, { partitionFor(PartitionUse::Index), LONG_POLL },
                  { [this](const journal::Record &record, base::TimePoint) { m_log.apply(record); } })
     , m_accepted(metrics.counter("nutmegplank_batches_kept_total", "Batches put into the log."))
+    , m_bulkReads(metrics.counter("nutmegplank_bulk_reads_total",
+                                  "Reads of bodies and texts from the log."))
 { }
 
 auto BatchStore::start() -> void
@@ -60,37 +68,150 @@
     m_follower.start();
 }
 
-auto BatchStore::keep(version::batch::Submission submission)
+auto BatchStore::current(base::TimePoint now) const -> bool
+{
+    const auto &reachability = m_follower.reachability();
+    return caughtUp() && reachability.reachable()
+        && now - reachability.answeredAt() < LONG_POLL + POLL_MARGIN;
+}
+
+//! Usually one call. Records count only once the index names them, so that a batch which needs
+//! several calls is whole or not there. Gives the offset of the first record.
+auto BatchStore::storeBulk(const std::string &batchId, std::vector<std::string> records)
     -> asio::awaitable<journal::AppendResult>
 {
     const auto limits = m_journal.limits();
-    const auto attempt = base::concat(m_process, "/", ++m_attempts);
-    auto records = version::batch::encodeSubmission(submission, attempt, limits.recordBytes);
+    const auto partition = bulkPartition(batchId, limits.partitions);
+    auto first = std::optional<std::uint64_t>();
     auto result = journal::AppendResult();
-    result.outcome = journal::AppendOutcome::NotDone;
-    // Usually one call. A batch exists once its last part is in the log, so that a batch which
-    // needs several calls is whole or not there.
-    while (!records.empty()) {
+    auto next = records.begin();
+    while (next != records.end()) {
         auto group = std::vector<std::string>();
         auto bytes = std::size_t(0);
-        while (!records.empty() && (group.empty() || bytes + records.front().size() <= limits.callBytes)) {
-            bytes += records.front().size();
-            group.push_back(std::move(records.front()));
-            records.erase(records.begin());
+        while (next != records.end() && (group.empty() || bytes + next->size() < limits.callBytes)) {
+            bytes += next->size() + RECORD_OVERHEAD;
+            group.push_back(std::move(*next));
+            ++next;
         }
-        result = co_await m_journal.appendAlways(partitionFor(PartitionUse::Batches),
-                                                 std::move(group), APPEND_TIME);
-        if (result.outcome != journal::AppendOutcome::Done)
+        result = co_await m_journal.appendAlways(partition, std::move(group), APPEND_TIME);
+        if (result.outcome != AppendOutcome::Done)
             co_return result;
+        if (!first.has_value())
+            first = result.offset;
+    }
+    result.offset = first.value_or(0);
+    co_return result;
+}
+
+auto BatchStore::keep(version::batch::Submission submission)
+    -> asio::awaitable<journal::AppendResult>
+{
+    const auto attempt = base::concat(m_process, "/", ++m_attempts);
+    auto records = version::batch::encodeSubmission(submission, attempt,
+                                                    m_journal.limits().recordBytes);
+    const auto kept = std::make_shared<const version::batch::Submission>(std::move(submission));
+    auto stored = co_await storeBulk(kept->head.id, std::move(records));
+    if (stored.outcome != AppendOutcome::Done) {
+        // Without an index record there is no batch, whatever became of its parts.
+        stored.outcome = AppendOutcome::NotDone;
+        co_return stored;
+    }
+    auto index = std::vector<std::string> { version::batch::encodeAccepted(*kept, stored.offset,
+                                                                           attempt) };
+    const auto result = co_await m_journal.appendAlways(partitionFor(PartitionUse::Index),
+                                                        std::move(index), APPEND_TIME);
+    if (result.outcome == AppendOutcome::Done) {
+        m_accepted.add();
+        remember(kept);
     }
-    m_accepted.add();
     co_return result;
 }
 
+auto BatchStore::remember(SubmissionPtr submission) -> void
+{
+    m_recent.push_front(std::move(submission));
+    if (m_recent.size() > RECENT_SUBMISSIONS)
+        m_recent.pop_back();
+}
+
+auto BatchStore::loadSubmission(std::string batchId)
+    -> asio::awaitable<absl::StatusOr<SubmissionPtr>>
+{
+    const auto *batch = m_log.find(batchId);
+    if (batch == nullptr)
+        co_return absl::NotFoundError("no such batch");
+    for (const auto &recent : m_recent) {
+        if (recent->head.id == batchId)
+            co_return recent;
+    }
+    const auto partition = bulkPartition(batchId, m_journal.limits().partitions);
+    auto assembler = version::batch::SubmissionAssembler(batchId, batch->attempt);
+    auto offset = batch->bulkOffset;
+    while (!assembler.complete()) {
+        m_bulkReads.add();
+        auto page = co_await m_journal.read(partition, offset, base::Duration(0));
+        if (!page.ok())
+            co_return page.status();
+        if (page->records.empty())
+            co_return absl::DataLossError("the batch's items are no longer in the log");
+        for (const auto &record : page->records)
+            assembler.take(record.data);
+        offset = page->records.back().offset + 1;
+    }
+    auto submission = assembler.finish();
+    if (!submission.has_value())
+        co_return absl::DataLossError("the batch's items cannot be read");
+    auto shared = std::make_shared<const version::batch::Submission>(std::move(*submission));
+    remember(shared);
+    co_return SubmissionPtr(shared);
+}
+
+auto BatchStore::loadResults(std::string batchId, std::uint64_t position, std::size_t mostBytes)
+    -> asio::awaitable<absl::StatusOr<std::vector<version::batch::Result>>>
+{
+    auto results = std::vector<version::batch::Result>();
+    auto bytes = std::size_t(0);
+    auto page = journal::Page();
+    const auto partition = bulkPartition(batchId, m_journal.limits().partitions);
+    while (true) {
+        const auto *batch = m_log.find(batchId);
+        if (batch == nullptr || position >= batch->listedCount)
+            co_return results;
+        const auto after = std::ranges::upper_bound(
+            batch->groups, position, {}, &version::batch::ListedGroup::firstPosition);
+        const auto group = *std::prev(after);
+        const auto present = std::ranges::find(page.records, group.bulkOffset,
+                                               &journal::Record::offset);
+        if (present == page.records.end()) {
+            if (bytes > 0 && bytes >= mostBytes)
+                co_return results;
+            m_bulkReads.add();
+            auto read = co_await m_journal.read(partition, group.bulkOffset, base::Duration(0));
+            if (!read.ok())
+                co_return read.status();
+            if (read->records.empty())
+                co_return absl::DataLossError("results are no longer in the log");
+            page = std::move(*read);
+            continue;
+        }
+        auto stored = version::batch::decodeResults(present->data, batchId);
+        if (!stored.has_value())
+            co_return absl::DataLossError("results cannot be read");
+        for (auto index = position - group.firstPosition; index < group.count; ++index) {
+            auto &result = (*stored)[group.kept[index]];
+            if (!results.empty() && bytes + result.text.size() > mostBytes)
+                co_return results;
+            bytes += result.text.size() + RECORD_OVERHEAD;
+            results.push_back(std::move(result));
+            ++position;
+        }
+    }
+}
+
 auto BatchStore::end(std::string batchId) -> asio::awaitable<journal::AppendResult>
 {
     auto records = std::vector<std::string> { version::batch::encodeEnd(batchId) };
-    co_return co_await m_journal.appendAlways(partitionFor(PartitionUse::Batches),
+    co_return co_await m_journal.appendAlways(partitionFor(PartitionUse::Index),
                                               std::move(records), APPEND_TIME);
 }
 
@@ -98,7 +219,7 @@
 {
     if (m_log.find(batchId) != nullptr)
         co_return Presence::Known;
-    const auto page = co_await m_journal.read(partitionFor(PartitionUse::Batches), position(),
+    const auto page = co_await m_journal.read(partitionFor(PartitionUse::Index), position(),
                                               base::Duration(0));
     if (!page.ok() || page->compacted)
         co_return Presence::Unsure;
--- a/src/app/node/batchstore.h
+++ b/src/app/node/batchstore.h
@@ -23,8 +23,10 @@
     Unsure, //!< The log did not answer.
 };
 
-//! The batches of all machines: reads them from the log and writes new ones, results and ends into
-//! it.
+using SubmissionPtr = std::shared_ptr<const version::batch::Submission>;
+
+//! The batches of all machines: follows their index, writes new ones and ends into the log, and
+//! reads bodies and texts from it when they are needed.
 class BatchStore
 {
 public:
@@ -36,6 +38,8 @@
 
     auto log() const -> const version::batch::BatchLog & { return m_log; }
     auto caughtUp() const -> bool { return m_follower.caughtUp(); }
+    //! Whether everything has been read that was in the log a moment ago.
+    auto current(base::TimePoint now) const -> bool;
     auto reachable() const -> bool { return m_follower.reachability().reachable(); }
     auto position() const -> std::uint64_t { return m_follower.position(); }
     auto forget(std::int64_t submittedBeforeMs) -> void { m_log.forget(submittedBeforeMs); }
@@ -45,6 +49,12 @@
         -> boost::asio::awaitable<version::journal::AppendResult>;
     //! Puts the end of a batch into the log.
     auto end(std::string batchId) -> boost::asio::awaitable<version::journal::AppendResult>;
+    //! The items of a batch.
+    auto loadSubmission(std::string batchId)
+        -> boost::asio::awaitable<absl::StatusOr<SubmissionPtr>>;
+    //! Results from \a position on, about \a mostBytes of text at most, one at least.
+    auto loadResults(std::string batchId, std::uint64_t position, std::size_t mostBytes)
+        -> boost::asio::awaitable<absl::StatusOr<std::vector<version::batch::Result>>>;
     //! Whether the log holds the batch, by a read of its own if it is not known here.
     auto look(std::string batchId) -> boost::asio::awaitable<Presence>;
     //! Returns when something about the batch has changed, or at \a until.
@@ -57,6 +67,9 @@
     using Waiter = std::shared_ptr<boost::asio::steady_timer>;
 
     auto wakeWaiters(const std::string &batchId) -> void;
+    auto storeBulk(const std::string &batchId, std::vector<std::string> records)
+        -> boost::asio::awaitable<version::journal::AppendResult>;
+    auto remember(SubmissionPtr submission) -> void;
 
     boost::asio::io_context &m_context;
     version::journal::IJournal &m_journal;
@@ -66,7 +79,9 @@
     version::batch::BatchLog m_log;
     version::journal::Follower m_follower;
     std::map<std::string, std::vector<Waiter>> m_waiters; //!< By batch.
+    std::deque<SubmissionPtr> m_recent; //!< Read or stored lately, newest first.
     process::metrics::Counter &m_accepted;
+    process::metrics::Counter &m_bulkReads;
 };
 
 } // namespace nutmegplank::app::node
--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -219,8 +219,8 @@
     if (!m_parts.batches.reachable())
         co_return refuse(exchange,
                          { RefusalCode::StoreAway, "the log does not answer", STORE_RETRY });
-    submission->workspace = exchange.workspace;
-    submission->submittedMs = m_parts.trueTime.milliseconds(exchange.receivedAt);
+    submission->head.workspace = exchange.workspace;
+    submission->head.submittedMs = m_parts.trueTime.milliseconds(exchange.receivedAt);
     const auto result = co_await m_parts.batches.keep(std::move(*submission));
     logging::info("batch.submitted",
                   { { "request", id },
@@ -252,11 +252,11 @@
     if (presence == Presence::Unsure)
         co_return refuse(exchange, { RefusalCode::Unsure, "the log does not answer", STORE_RETRY });
     const auto *batch = m_parts.batches.log().find(id);
-    if (batch == nullptr || batch->submission.workspace != exchange.workspace)
+    if (batch == nullptr || batch->head.workspace != exchange.workspace)
         co_return refuse(exchange, { RefusalCode::NoBatch, "no such batch" });
     switch (exchange.call.kind) {
     case CallKind::ReadBody:
-        co_return readBody(exchange, *batch);
+        co_return co_await readBody(exchange);
     case CallKind::EndBatch:
         co_return co_await endBatch(exchange);
     case CallKind::ReadResults:
@@ -270,30 +270,46 @@
 {
     const auto &call = exchange.call;
     const auto until = exchange.receivedAt + std::min<base::Duration>(call.wait, LONGEST_WAIT);
-    while (true) {
-        const auto *batch = m_parts.batches.log().find(call.batchId);
-        if (batch == nullptr)
-            co_return refuse(exchange, { RefusalCode::Unsure, "the batch was dropped" });
-        if (batch->results.size() > call.position || process::clock::now() >= until)
-            co_return m_parts.protocol.writeResults(*batch, call.position);
+    const auto *batch = m_parts.batches.log().find(call.batchId);
+    while (batch != nullptr && batch->listedCount <= call.position
+           && process::clock::now() < until) {
         co_await m_parts.batches.waitForChange(call.batchId, until);
+        batch = m_parts.batches.log().find(call.batchId);
     }
+    if (batch == nullptr)
+        co_return refuse(exchange, { RefusalCode::Unsure, "the batch was dropped" });
+    const auto total = batch->itemCount();
+    // Another machine may have shown more: only a machine that knows the log's end may say that
+    // there is nothing yet.
+    if (batch->listedCount <= call.position && batch->listedCount < total
+        && !m_parts.batches.current(process::clock::now()))
+        co_return refuse(exchange, { RefusalCode::Unsure, "the log is not read to its end",
+                                     STORE_RETRY });
+    auto results = co_await m_parts.batches.loadResults(call.batchId, call.position,
+                                                        m_parts.protocol.mostResultBytes());
+    if (!results.ok())
+        co_return refuse(exchange, { RefusalCode::Unsure, base::describe(results.status()),
+                                     STORE_RETRY });
+    co_return m_parts.protocol.writeResults(total, call.position, std::move(*results));
 }
 
-auto CallService::readBody(const Exchange &exchange, const version::batch::Batch &batch) const
-    -> Answer
+auto CallService::readBody(const Exchange &exchange) -> asio::awaitable<Answer>
 {
-    const auto &items = batch.submission.items;
-    for (auto index = std::size_t(0); index < items.size(); ++index) {
-        if (items[index].id != exchange.call.itemId)
-            continue;
-        if (batch.listed[index] || batch.ended)
-            break;
-        auto answer = Answer { STATUS_OK, {}, items[index].body };
-        answer.headers.push_back({ "Content-Type", "application/octet-stream" });
-        return answer;
-    }
-    return refuse(exchange, { RefusalCode::NoBatch, "the item is unknown, listed or ended" });
+    auto submission = co_await m_parts.batches.loadSubmission(exchange.call.batchId);
+    const auto *batch = m_parts.batches.log().find(exchange.call.batchId);
+    if (!submission.ok() || batch == nullptr)
+        co_return refuse(exchange, { RefusalCode::Unsure, base::describe(submission.status()),
+                                     STORE_RETRY });
+    const auto &items = (*submission)->items;
+    const auto found = std::ranges::find(items, exchange.call.itemId, &version::batch::Item::id);
+    const auto index = static_cast<std::size_t>(found - items.begin());
+    if (found == items.end() || batch->listed[index] || batch->ended)
+        co_return refuse(exchange,
+                         { RefusalCode::NoBatch, "the item is unknown, listed or ended" });
+    auto answer = Answer();
+    answer.body = found->body;
+    answer.headers.push_back({ "Content-Type", "application/octet-stream" });
+    co_return answer;
 }
 
 auto CallService::endBatch(const Exchange &exchange) -> asio::awaitable<Answer>
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -55,7 +55,7 @@
         -> boost::asio::awaitable<Answer>;
     auto batchCall(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
     auto readResults(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
-    auto readBody(const Exchange &exchange, const version::batch::Batch &batch) const -> Answer;
+    auto readBody(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
     auto endBatch(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
     auto refuse(const Exchange &exchange, request::call::Refusal refusal) const -> Answer;
     auto noteAnswer(const Exchange &exchange, std::uint32_t status, std::string_view outcome) const
--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 
 #include "app/node/partitions.h"
+#include "base/status.h"
 #include "process/clock/clock.h"
 #include "process/logging/logging.h"
 
@@ -30,8 +31,22 @@
 //! Windows that ended longer ago are not reported any more.
 constexpr auto REPORT_WITHIN = std::chrono::seconds(20);
 constexpr auto EPOCH_RETRY = std::chrono::milliseconds(100);
+constexpr auto LOAD_RETRY = std::chrono::milliseconds(100);
 constexpr auto CATCH_UP_TIME = std::chrono::seconds(3);
 
+//! Machines with less than this of a core leave the lease to larger ones for as long as any of those
+//! claims it: who holds it reads the events of all running items.
+constexpr auto SMALL_CPU_SHARE = 0.3;
+constexpr auto SMALL_HANDICAP = std::chrono::milliseconds(800);
+
+auto leaseTimes(double cpuShare) -> version::leadership::LeaseTimes
+{
+    auto times = version::leadership::LeaseTimes();
+    if (cpuShare < SMALL_CPU_SHARE)
+        times.handicap = SMALL_HANDICAP;
+    return times;
+}
+
 auto pauseFor(base::Duration duration) -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(co_await asio::this_coro::executor, duration);
@@ -42,7 +57,7 @@
 
 Conductor::Conductor(ConductorParts parts)
     : m_parts(std::move(parts))
-    , m_leadership(m_parts.process, {})
+    , m_leadership(m_parts.process, leaseTimes(m_parts.settings.cpuShare))
     , m_leaseFollower(m_parts.context, m_parts.journal,
                       { partitionFor(PartitionUse::Lease), LONG_POLL },
                       { [this](const journal::Record &record, base::TimePoint now) {
@@ -68,13 +83,13 @@
     , m_windows(m_parts.metrics.counter("nutmegplank_usage_windows_total",
                                         "Usage windows reported."))
 {
-    m_parts.batches.setHooks({ [this](const Batch &batch) { m_executor.addBatch(batch); },
+    m_parts.batches.setHooks({ [this](const Batch &batch) { openBatch(batch); },
                                [this](const Batch &batch) {
                                    if (!batch.open())
-                                       m_executor.endBatch(batch.submission.id);
+                                       m_executor.endBatch(batch.head.id);
                                },
                                [this](const Batch &batch) {
-                                   m_executor.endBatch(batch.submission.id);
+                                   m_executor.endBatch(batch.head.id);
                                } });
 }
 
@@ -246,7 +261,32 @@
     logging::info("conductor.active", { { "fence", fence }, { "log_end", *end } });
     m_executor.start();
     for (const auto &[id, batch] : m_parts.batches.log().all())
-        m_executor.addBatch(*batch);
+        openBatch(*batch);
+}
+
+auto Conductor::openBatch(const Batch &batch) -> void
+{
+    if (m_activeFence != 0 && batch.open())
+        asio::co_spawn(m_parts.context, loadBatch(batch.head.id, m_activeFence), asio::detached);
+}
+
+auto Conductor::loadBatch(std::string batchId, std::uint64_t fence) -> asio::awaitable<void>
+{
+    while (m_activeFence == fence) {
+        auto submission = co_await m_parts.batches.loadSubmission(batchId);
+        const auto *batch = m_parts.batches.log().find(batchId);
+        if (batch == nullptr || !batch->open() || m_activeFence != fence)
+            co_return;
+        if (submission.ok()) {
+            m_executor.addBatch(*batch, *submission);
+            co_return;
+        }
+        logging::warning("batch.load_failed", { { "batch", batchId },
+                                                { "problem", base::describe(submission.status()) } });
+        if (submission.status().code() == absl::StatusCode::kDataLoss)
+            co_return;
+        co_await pauseFor(LOAD_RETRY);
+    }
 }
 
 auto Conductor::deactivate(std::string_view reason) -> void
--- a/src/app/node/conductor.h
+++ b/src/app/node/conductor.h
@@ -62,6 +62,8 @@
     auto followLease() -> void;
     auto activate(std::uint64_t fence) -> boost::asio::awaitable<void>;
     auto deactivate(std::string_view reason) -> void;
+    auto openBatch(const version::batch::Batch &batch) -> void;
+    auto loadBatch(std::string batchId, std::uint64_t fence) -> boost::asio::awaitable<void>;
     auto meterLoop() -> boost::asio::awaitable<void>;
     auto usageLoop() -> boost::asio::awaitable<void>;
     auto closeWindows(std::uint64_t fence) -> boost::asio::awaitable<void>;
--- a/src/app/node/partitions.h
+++ b/src/app/node/partitions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/hash.h"
 #include "version/journal/ijournal.h"
 
 //! The product's own partitions in the platform's log.
@@ -7,13 +8,22 @@
 
 constexpr auto PRODUCT_TOPIC = "nutmegplank";
 constexpr auto MEMBER_TOPIC = "keyed.members";
+//! Bodies and texts of batches, by batch over all its partitions.
+constexpr auto BULK_TOPIC = "bulk";
 
 enum class PartitionUse : std::uint32_t {
-    Batches = 0, //!< Batches, their results and their ends.
+    Index = 0, //!< Batches, what of them is listed, and their ends.
     Lease = 1,   //!< Who is in charge.
     Meter = 2,   //!< Usage by windows.
 };
 
+//! Where the bodies and texts of a batch lie.
+inline auto bulkPartition(const std::string &batchId, std::uint32_t partitions)
+    -> version::journal::Partition
+{
+    return { BULK_TOPIC, static_cast<std::uint32_t>(base::hash64(batchId) % partitions) };
+}
+
 inline auto partitionFor(PartitionUse use) -> version::journal::Partition
 {
     return { PRODUCT_TOPIC, static_cast<std::uint32_t>(use) };
--- a/src/app/node/resultwriter.cpp
+++ b/src/app/node/resultwriter.cpp
@@ -42,7 +42,7 @@
     const auto condition =
         journal::AppendCondition { {}, journal::Producer { PRODUCER, fence, 0 } };
     const auto nothing = std::vector<std::string>();
-    const auto result = co_await m_journal.append(partitionFor(PartitionUse::Batches), nothing,
+    const auto result = co_await m_journal.append(partitionFor(PartitionUse::Index), nothing,
                                                   condition, APPEND_TIME);
     logging::info("results.epoch", { { "fence", fence },
                                      { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
@@ -72,60 +72,104 @@
     asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
 }
 
-auto ResultWriter::takeRecords() -> std::vector<std::string>
+auto ResultWriter::takeGroups() -> std::vector<Group>
 {
-    auto records = std::vector<std::string>();
+    auto groups = std::vector<Group>();
     auto callBytes = std::size_t(0);
     while (!m_waiting.empty() && callBytes < CALL_TEXT) {
         auto &[batch, results] = *m_waiting.begin();
-        auto group = std::vector<version::batch::Result>();
+        auto group = Group { batch };
         auto bytes = std::size_t(0);
         while (!results.empty() && bytes < RECORD_TEXT) {
             bytes += results.back().text.size();
-            group.push_back(std::move(results.back()));
+            group.results.push_back(std::move(results.back()));
             results.pop_back();
         }
         callBytes += bytes;
-        records.push_back(version::batch::encodeResults(batch, group));
+        groups.push_back(std::move(group));
         if (results.empty())
             m_waiting.erase(m_waiting.begin());
     }
-    return records;
+    return groups;
 }
 
-auto ResultWriter::writeLoop(std::uint64_t fence) -> asio::awaitable<void>
+auto ResultWriter::logFailure(std::string_view step, std::uint64_t fence,
+                              const journal::AppendResult &result) const -> void
+{
+    logging::warning("results.append_failed",
+                     { { "step", step },
+                       { "fence", fence },
+                       { "sequence", m_sequence },
+                       { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES, result.outcome) },
+                       { "detail", result.detail } });
+}
+
+//! Puts the texts into the bulk partitions; an append whose answer was lost is done again, since
+//! what the index does not name does not count.
+auto ResultWriter::storeTexts(std::uint64_t fence, std::vector<Group> groups)
+    -> asio::awaitable<std::vector<std::string>>
 {
     auto timer = asio::steady_timer(m_context);
-    auto records = std::vector<std::string>();
-    while (m_fence == fence) {
-        if (records.empty()) {
-            timer.expires_after(GATHER);
-            co_await timer.async_wait(USE_TUPLE);
-            records = takeRecords();
-            if (records.empty())
+    auto index = std::vector<std::string>();
+    for (const auto &group : groups) {
+        auto result = journal::AppendResult();
+        while (m_fence == fence && result.outcome != AppendOutcome::Done) {
+            auto records = std::vector<std::string> { version::batch::encodeResults(
+                group.batch, group.results) };
+            const auto partition =
+                bulkPartition(group.batch, m_journal.limits().partitions);
+            result = co_await m_journal.appendAlways(partition, std::move(records), APPEND_TIME);
+            if (result.outcome == AppendOutcome::Done)
                 break;
-            ++m_sequence;
+            logFailure("text", fence, result);
+            timer.expires_after(RETRY);
+            co_await timer.async_wait(USE_TUPLE);
         }
+        if (m_fence == fence)
+            index.push_back(
+                version::batch::encodeListed(group.batch, result.offset, group.results));
+    }
+    co_return index;
+}
+
+auto ResultWriter::writeLoop(std::uint64_t fence) -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(m_context);
+    while (m_fence == fence) {
+        timer.expires_after(GATHER);
+        co_await timer.async_wait(USE_TUPLE);
+        auto groups = takeGroups();
+        if (groups.empty())
+            break;
+        const auto index = co_await storeTexts(fence, std::move(groups));
+        ++m_sequence;
+        co_await writeIndex(fence, index);
+    }
+    m_writing = false;
+    if (m_fence != 0 && !m_waiting.empty()) {
+        m_writing = true;
+        asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
+    }
+}
+
+auto ResultWriter::writeIndex(std::uint64_t fence, std::vector<std::string> records)
+    -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(m_context);
+    while (m_fence == fence) {
         const auto condition =
             journal::AppendCondition { {}, journal::Producer { PRODUCER, fence, m_sequence } };
-        const auto result = co_await m_journal.append(partitionFor(PartitionUse::Batches), records,
+        const auto result = co_await m_journal.append(partitionFor(PartitionUse::Index), records,
                                                       condition, APPEND_TIME);
         if (result.outcome == AppendOutcome::Done) {
             m_recordsPerAppend.record(static_cast<double>(records.size()));
-            records.clear();
-            continue;
+            co_return;
         }
-        logging::warning("results.append_failed",
-                         { { "fence", fence },
-                           { "sequence", m_sequence },
-                           { "records", records.size() },
-                           { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
-                                                     result.outcome) },
-                           { "detail", result.detail } });
+        logFailure("index", fence, result);
         if (result.outcome == AppendOutcome::Fenced) {
             m_fence = 0;
             m_onFenced();
-            break;
+            co_return;
         }
         // The same records under the same number: the log tells a repeat by it.
         if (result.outcome == AppendOutcome::Sequence)
@@ -133,11 +177,6 @@
         timer.expires_after(RETRY);
         co_await timer.async_wait(USE_TUPLE);
     }
-    m_writing = false;
-    if (m_fence != 0 && !m_waiting.empty()) {
-        m_writing = true;
-        asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
-    }
 }
 
 } // namespace nutmegplank::app::node
--- a/src/app/node/resultwriter.h
+++ b/src/app/node/resultwriter.h
@@ -28,8 +28,21 @@
     auto add(const std::string &batch, version::batch::Result result) -> void;
 
 private:
+    //! Results of one batch that share a record.
+    struct Group
+    {
+        std::string batch;
+        std::vector<version::batch::Result> results;
+    };
+
     auto writeLoop(std::uint64_t fence) -> boost::asio::awaitable<void>;
-    auto takeRecords() -> std::vector<std::string>;
+    auto takeGroups() -> std::vector<Group>;
+    auto storeTexts(std::uint64_t fence, std::vector<Group> groups)
+        -> boost::asio::awaitable<std::vector<std::string>>;
+    auto writeIndex(std::uint64_t fence, std::vector<std::string> records)
+        -> boost::asio::awaitable<void>;
+    auto logFailure(std::string_view step, std::uint64_t fence,
+                    const version::journal::AppendResult &result) const -> void;
 
     boost::asio::io_context &m_context;
     version::journal::IJournal &m_journal;
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -27,7 +27,7 @@
 constexpr auto KEY_SCHEME = std::string_view("Bearer ");
 //! An answer holds at most 1 MB of results.
 constexpr auto MOST_RESULT_BYTES = std::size_t(900'000);
-constexpr auto RESULT_OVERHEAD = std::size_t(200);
+constexpr auto STATUS_OK = 200U;
 
 auto numberOf(std::string_view text) -> std::optional<std::uint64_t>
 {
@@ -141,13 +141,13 @@
     if (call.requestId.empty() || items == nullptr || items->empty())
         return malformed(call, "a batch needs X-Request-Id and a list \"items\"");
     auto submission = version::batch::Submission();
-    submission.id = call.requestId;
-    submission.host = call.host;
-    submission.path = call.path;
-    submission.model = textField(*object, "model").value_or("");
-    submission.minVersion = wholeField(*object, "min_version").value_or(0);
-    submission.step = static_cast<std::uint32_t>(wholeField(*object, "step").value_or(0));
-    submission.groupCount =
+    submission.head.id = call.requestId;
+    submission.head.host = call.host;
+    submission.head.path = call.path;
+    submission.head.model = textField(*object, "model").value_or("");
+    submission.head.minVersion = wholeField(*object, "min_version").value_or(0);
+    submission.head.step = static_cast<std::uint32_t>(wholeField(*object, "step").value_or(0));
+    submission.head.groupCount =
         static_cast<std::uint32_t>(wholeField(*object, "group_count").value_or(0));
     submission.items.reserve(items->size());
     for (const auto &value : *items) {
@@ -160,31 +160,30 @@
     return submission;
 }
 
-auto CallProtocol::writeResults(const version::batch::Batch &batch, std::uint64_t position) const
+auto CallProtocol::writeResults(std::size_t total, std::uint64_t position,
+                                std::vector<version::batch::Result> results) const
     -> http::Response
 {
-    auto results = json::array();
-    auto bytes = std::size_t(0);
-    auto next = position;
-    while (next < batch.results.size()) {
-        const auto &result = batch.results[next];
-        bytes += result.text.size() + RESULT_OVERHEAD;
-        if (bytes > MOST_RESULT_BYTES && next > position)
-            break;
+    auto list = json::array();
+    for (auto &result : results) {
         auto entry = json::object();
-        entry["id"] = batch.submission.items[result.item].id;
+        entry["id"] = result.itemId;
         entry["state"] = result.lost ? "lost" : "completed";
         entry["text"] = result.text;
         entry["versions"] = json::array(result.versions.begin(), result.versions.end());
-        results.push_back(std::move(entry));
-        ++next;
+        list.push_back(std::move(entry));
     }
     auto body = json::object();
-    body["total"] = batch.submission.items.size();
+    body["total"] = total;
     // "next_token" is a position.
-    body["next_token"] = next;
-    body["results"] = std::move(results);
-    return http::jsonResponse(200, json::serialize(body));
+    body["next_token"] = position + results.size();
+    body["results"] = std::move(list);
+    return http::jsonResponse(STATUS_OK, json::serialize(body));
+}
+
+auto CallProtocol::mostResultBytes() const -> std::size_t
+{
+    return MOST_RESULT_BYTES;
 }
 
 auto CallProtocol::writeRefusal(const request::call::Refusal &refusal,
--- a/src/platform/callprotocol.h
+++ b/src/platform/callprotocol.h
@@ -11,8 +11,10 @@
     auto readCall(const connection::http::Request &request) const -> request::call::Call override;
     auto readSubmission(const request::call::Call &call, const std::string &body) const
         -> absl::StatusOr<version::batch::Submission> override;
-    auto writeResults(const version::batch::Batch &batch, std::uint64_t position) const
+    auto writeResults(std::size_t total, std::uint64_t position,
+                      std::vector<version::batch::Result> results) const
         -> connection::http::Response override;
+    auto mostResultBytes() const -> std::size_t override;
     auto writeRefusal(const request::call::Refusal &refusal, const std::string &requestId) const
         -> connection::http::Response override;
     auto writeAccepted(const std::string &requestId) const
--- a/src/platform/nodefile.cpp
+++ b/src/platform/nodefile.cpp
@@ -72,12 +72,17 @@
         store.integer("record_bytes", { 1024, MOST_BYTES }, 262144));
     settings.appendLimits.callBytes =
         static_cast<std::size_t>(store.integer("call_bytes", { 1024, MOST_BYTES }, 2097152));
+    settings.appendLimits.partitions =
+        static_cast<std::uint32_t>(store.integer("parts", { 1, 10000 }, 12));
     keepFirst(problem, store);
     if (reader.has("cloud")) {
         auto cloud = reader.object("cloud");
         settings.cloudEndpoint = readEndpoint(cloud, "address");
         keepFirst(problem, cloud);
     }
+    auto limits = reader.object("limits");
+    settings.cpuShare = limits.number("cpu_share", 0.0, 1024.0, settings.cpuShare);
+    keepFirst(problem, limits);
     auto bounds = reader.object("bounds");
     settings.usageWindow = readSeconds(bounds, "usage_window_s", settings.usageWindow);
     settings.grace = readSeconds(bounds, "grace_s", settings.grace);
--- a/src/request/call/call.h
+++ b/src/request/call/call.h
@@ -85,9 +85,12 @@
     //! The batch in the body of \a call; its workspace and time of submission are not set.
     virtual auto readSubmission(const Call &call, const std::string &body) const
         -> absl::StatusOr<version::batch::Submission> = 0;
-    //! The results from \a position on, as many as one answer may hold.
-    virtual auto writeResults(const version::batch::Batch &batch, std::uint64_t position) const
+    //! \a results stand at \a position and after it, of a batch of \a total items.
+    virtual auto writeResults(std::size_t total, std::uint64_t position,
+                              std::vector<version::batch::Result> results) const
         -> connection::http::Response = 0;
+    //! Bytes of text that one answer with results may hold.
+    virtual auto mostResultBytes() const -> std::size_t = 0;
     virtual auto writeRefusal(const Refusal &refusal, const std::string &requestId) const
         -> connection::http::Response = 0;
     //! The batch is kept.
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -122,43 +122,43 @@
 auto RolloutExecutor::routeOf(const BatchWork &batch, std::size_t index) const
     -> const version::routing::Route *
 {
-    const auto &submission = batch.batch->submission;
+    const auto &submission = *batch.submission;
     const auto &path = submission.items[index].path;
-    return m_table->findRoute(submission.host, std::string_view(path).substr(0, path.find('?')));
+    return m_table->findRoute(submission.head.host, std::string_view(path).substr(0, path.find('?')));
 }
 
-auto RolloutExecutor::addBatch(const Batch &batch) -> void
+auto RolloutExecutor::addBatch(const Batch &batch, SubmissionPtr items) -> void
 {
-    const auto &submission = batch.submission;
-    if (!m_active || !batch.open() || m_batches.contains(submission.id))
+    const auto &head = batch.head;
+    if (!m_active || !batch.open() || m_batches.contains(head.id))
         return;
     const auto table = m_parts.routing();
     const auto *route = table == nullptr ? nullptr
-                                         : table->findRoute(submission.host, submission.path);
+                                         : table->findRoute(head.host, head.path);
     const auto fallback = version::routing::Route();
     const auto &rules = route == nullptr ? fallback : *route;
     auto work = BatchWork();
-    work.id = submission.id;
-    work.batch = &batch;
-    const auto age = std::chrono::milliseconds(m_parts.trueMs() - submission.submittedMs);
+    work.id = head.id;
+    work.submission = std::move(items);
+    const auto age = std::chrono::milliseconds(m_parts.trueMs() - head.submittedMs);
     work.dueAt = m_parts.now() + rules.resultDeadline - age;
-    work.giveUpAtMs = submission.submittedMs + base::toMilliseconds(rules.retention);
-    for (auto index = std::size_t(0); index < submission.items.size(); ++index) {
+    work.giveUpAtMs = head.submittedMs + base::toMilliseconds(rules.retention);
+    for (auto index = std::size_t(0); index < batch.itemCount(); ++index) {
         auto &item = work.items.emplace_back();
         item.transcript = std::make_shared<Transcript>(
-            TranscriptRules { submission.minVersion, rules.singleVersion });
+            TranscriptRules { head.minVersion, rules.singleVersion });
         if (batch.listed[index])
             item.state = ItemState::Done;
     }
     logging::info("rollout.batch_opened",
-                  { { "batch", submission.id },
-                    { "model", submission.model },
-                    { "step", submission.step },
-                    { "min_version", submission.minVersion },
-                    { "items", submission.items.size() },
-                    { "listed", batch.results.size() },
+                  { { "batch", head.id },
+                    { "model", head.model },
+                    { "step", head.step },
+                    { "min_version", head.minVersion },
+                    { "items", batch.itemCount() },
+                    { "listed", batch.listedCount },
                     { "age_ms", age.count() } });
-    m_batches.emplace(submission.id, std::move(work));
+    m_batches.emplace(head.id, std::move(work));
     wake();
 }
 
@@ -192,7 +192,7 @@
     for (const auto &[id, batch] : m_batches) {
         for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
             if (batch.items[index].state != ItemState::Done)
-                tokens[batch.batch->submission.model] +=
+                tokens[batch.submission->head.model] +=
                     static_cast<double>(expectedOutput(batch, index));
         }
     }
@@ -203,8 +203,8 @@
 {
     auto needed = std::uint64_t(0);
     for (const auto &[id, batch] : m_batches) {
-        if (batch.batch->submission.model == model)
-            needed = std::max(needed, batch.batch->submission.minVersion);
+        if (batch.submission->head.model == model)
+            needed = std::max(needed, batch.submission->head.minVersion);
     }
     return needed;
 }
@@ -218,7 +218,7 @@
 auto RolloutExecutor::expectedOutput(const BatchWork &batch, std::size_t index) const
     -> std::uint64_t
 {
-    const auto &item = batch.batch->submission.items[index];
+    const auto &item = batch.submission->items[index];
     const auto &work = batch.items[index];
     const auto *service = m_table == nullptr ? nullptr : [&]() -> const version::routing::Service * {
         const auto *route = routeOf(batch, index);
@@ -319,15 +319,15 @@
 {
     const auto now = m_parts.now();
     for (const auto &[id, batch] : m_batches) {
-        const auto &submission = batch.batch->submission;
+        const auto &submission = *batch.submission;
         for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
             const auto &item = batch.items[index];
             if (item.state != ItemState::Waiting || now < item.notBefore)
                 continue;
             auto entry = WaitingItem();
             entry.handle = keys.size();
-            entry.model = submission.model;
-            entry.minVersion = submission.minVersion;
+            entry.model = submission.head.model;
+            entry.minVersion = submission.head.minVersion;
             entry.expectedTokens = expectedOutput(batch, index);
             entry.heldTokens = submission.items[index].promptTokens;
             entry.dueAt = batch.dueAt;
@@ -378,7 +378,7 @@
                 continue;
             for (auto &engine : engines) {
                 if (engine.id == item.engine)
-                    engine.reservedTokens += batch.batch->submission.items[index].promptTokens
+                    engine.reservedTokens += batch.submission->items[index].promptTokens
                         + expectedOutput(batch, index);
             }
         }
@@ -391,7 +391,7 @@
 {
     auto &batch = m_batches.at(key.batch);
     auto &item = batch.items[key.item];
-    const auto &submission = batch.batch->submission;
+    const auto &submission = *batch.submission;
     const auto &source = submission.items[key.item];
     const auto *server = m_parts.servers.find(engine.id);
     const auto *route = routeOf(batch, key.item);
@@ -406,18 +406,18 @@
     request.method = "POST";
     request.target = source.path;
     request.headers = source.headers;
-    request.headers.push_back({ "Host", submission.host });
+    request.headers.push_back({ "Host", submission.head.host });
     request.body = source.body;
     auto envelope = serverprotocol::Envelope();
     envelope.serverId = engine.id;
-    envelope.workspace = submission.workspace;
+    envelope.workspace = submission.head.workspace;
     envelope.timeLeft = std::chrono::milliseconds(batch.giveUpAtMs - m_parts.trueMs());
     envelope.urgency =
         expectedOutput(batch, key.item) >= LONG_OUTPUT ? LONG_URGENCY : USUAL_URGENCY;
     if (!item.transcript->empty())
         envelope.lastEvent = item.transcript->lastId();
     if (route->singleVersion)
-        envelope.weightVersion = engine.modelVersion.at(submission.model);
+        envelope.weightVersion = engine.modelVersion.at(submission.head.model);
     m_parts.protocol.seal(request, envelope);
     item.run = std::make_shared<ItemRun>(std::move(request), source.id, item.transcript,
                                          m_parts.protocol);
@@ -454,12 +454,12 @@
     auto &item = batch.items[key.item];
     if (outcome.weightVersion.has_value())
         m_parts.engines.noteVersion(server.record.id, server.record.incarnation,
-                                    batch.batch->submission.model, *outcome.weightVersion);
+                                    batch.submission->head.model, *outcome.weightVersion);
     noteServer(server, item, outcome);
     if (outcome.end != RunEnd::Completed)
         logging::info("rollout.run_ended",
                       { { "batch", key.batch },
-                        { "item", batch.batch->submission.items[key.item].id },
+                        { "item", batch.submission->items[key.item].id },
                         { "server", server.record.id },
                         { "end", base::nameOf(RUN_END_NAMES, outcome.end) },
                         { "status", outcome.status },
@@ -555,6 +555,7 @@
     item.state = ItemState::Done;
     auto result = version::batch::Result();
     result.item = static_cast<std::uint32_t>(index);
+    result.itemId = batch.submission->items[index].id;
     result.lost = lost;
     if (!lost) {
         result.text = item.transcript->text();
@@ -564,7 +565,7 @@
     if (lost)
         logging::warning("rollout.item_lost",
                          { { "batch", batch.id },
-                           { "item", batch.batch->submission.items[index].id },
+                           { "item", batch.submission->items[index].id },
                            { "reason", reason },
                            { "failures", item.failures },
                            { "losses", item.losses } });
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -39,6 +39,8 @@
     std::function<void(const std::string &batch, version::batch::Result result)> onFinished;
 };
 
+using SubmissionPtr = std::shared_ptr<const version::batch::Submission>;
+
 //! Runs the items of all open batches while this process is in charge. Not safe for several
 //! threads.
 class RolloutExecutor
@@ -51,7 +53,7 @@
     auto stop(std::string_view reason) -> void;
     auto active() const -> bool { return m_active; }
 
-    auto addBatch(const version::batch::Batch &batch) -> void;
+    auto addBatch(const version::batch::Batch &batch, SubmissionPtr items) -> void;
     auto endBatch(const std::string &id) -> void;
     //! Looks again soon: a server, a place or a version has changed.
     auto wake() -> void;
@@ -87,7 +89,7 @@
     struct BatchWork
     {
         std::string id;
-        const version::batch::Batch *batch = nullptr; //!< The batch log keeps it while it is open.
+        SubmissionPtr submission;
         std::vector<ItemWork> items;
         base::TimePoint dueAt {};
         std::int64_t giveUpAtMs = 0;
--- a/src/version/batch/batch.h
+++ b/src/version/batch/batch.h
@@ -7,7 +7,8 @@
 #include "base/timepoint.h"
 #include "connection/http/message.h"
 
-//! Batches of rollout items, as they stand in the log.
+//! Batches of rollout items. Their index is small and every machine follows it; bodies and texts
+//! lie in bulk partitions and are read when they are needed.
 namespace nutmegplank::version::batch {
 
 //! One request of a batch.
@@ -23,8 +24,8 @@
     std::string group;                //!< Items of a group share their prompt and count together.
 };
 
-//! A batch as a caller hands it in.
-struct Submission
+//! What is known of a batch without its items.
+struct BatchHead
 {
     std::string id;
     std::string host;
@@ -35,6 +36,12 @@
     std::uint32_t step = 0;
     std::uint32_t groupCount = 0; //!< Groups that its trainer waits for.
     std::int64_t submittedMs = 0; //!< True time since 1970.
+};
+
+//! A batch as a caller hands it in.
+struct Submission
+{
+    BatchHead head;
     std::vector<Item> items;
 };
 
@@ -42,20 +49,34 @@
 struct Result
 {
     std::uint32_t item = 0; //!< Index in the submission.
-    bool lost = false;      //!< Given up; there is no text.
+    std::string itemId;
+    bool lost = false; //!< Given up; there is no text.
     std::string text;
     std::vector<std::uint64_t> versions; //!< Weights that made the text.
 };
 
-//! A batch with everything that the log says of it.
+//! Results that share a record of the bulk partition.
+struct ListedGroup
+{
+    std::uint64_t bulkOffset = 0;
+    std::uint64_t firstPosition = 0;
+    std::uint32_t count = 0;
+    std::vector<std::uint32_t> kept; //!< Which of the record's results stand here, in order.
+};
+
+//! A batch with everything that the index says of it.
 struct Batch
 {
-    Submission submission;
-    std::vector<Result> results; //!< Positions never change.
-    std::vector<bool> listed;    //!< By item.
+    BatchHead head;
+    std::uint64_t bulkOffset = 0; //!< Of the submission's first part.
+    std::string attempt;          //!< That stored the submission.
+    std::vector<bool> listed;     //!< By item.
+    std::vector<ListedGroup> groups;
+    std::uint64_t listedCount = 0; //!< Positions never change.
     bool ended = false;
 
-    auto open() const -> bool { return !ended && results.size() < submission.items.size(); }
+    auto itemCount() const -> std::size_t { return listed.size(); }
+    auto open() const -> bool { return !ended && listedCount < listed.size(); }
 };
 
 } // namespace nutmegplank::version::batch
--- a/src/version/batch/batchcodec.h
+++ b/src/version/batch/batchcodec.h
@@ -9,15 +9,44 @@
 
 namespace nutmegplank::version::batch {
 
-//! The records that put \a submission into the log, none larger than \a recordBytes. \a attempt is
-//! unique for each try to store it.
+//! The bulk records of \a submission, none larger than \a recordBytes. \a attempt is unique for
+//! each try to store it.
 auto encodeSubmission(const Submission &submission, const std::string &attempt,
                       std::size_t recordBytes) -> std::vector<std::string>;
+//! The bulk record of results of one batch.
 auto encodeResults(const std::string &batchId, const std::vector<Result> &results) -> std::string;
+
+//! Index records.
+auto encodeAccepted(const Submission &submission, std::uint64_t bulkOffset,
+                    const std::string &attempt) -> std::string;
+auto encodeListed(const std::string &batchId, std::uint64_t bulkOffset,
+                  const std::vector<Result> &results) -> std::string;
 auto encodeEnd(const std::string &batchId) -> std::string;
 
-//! Nothing when \a data is no serialized submission.
-auto decodeSubmission(const std::string &data) -> std::optional<Submission>;
-auto decodeResult(const record::Result &message) -> Result;
+//! Puts parts of a submission together as they are read.
+class SubmissionAssembler
+{
+public:
+    SubmissionAssembler(std::string batchId, std::string attempt)
+        : m_batchId(std::move(batchId))
+        , m_attempt(std::move(attempt))
+    { }
+
+    //! Takes one bulk record; those of others are passed over.
+    auto take(const std::string &data) -> void;
+    auto complete() const -> bool { return !m_parts.empty() && m_present == m_parts.size(); }
+    //! Nothing when the parts are no submission.
+    auto finish() const -> std::optional<Submission>;
+
+private:
+    std::string m_batchId;
+    std::string m_attempt;
+    std::vector<std::string> m_parts;
+    std::size_t m_present = 0;
+};
+
+//! The results in a bulk record; nothing when it holds none of \a batchId.
+auto decodeResults(const std::string &data, const std::string &batchId)
+    -> std::optional<std::vector<Result>>;
 
 } // namespace nutmegplank::version::batch
--- a/src/version/batch/batchlog.h
+++ b/src/version/batch/batchlog.h
@@ -20,8 +20,9 @@
     std::function<void(const Batch &batch)> onEnded;
 };
 
-//! The batches by replay of their records. Deterministic: after the same offset all processes hold
-//! the same batches with the same results at the same positions. Not safe for several threads.
+//! The index of all batches by replay of its records. Deterministic: after the same offset all
+//! processes know the same batches with the same results at the same positions. Not safe for
+//! several threads.
 class BatchLog
 {
 public:
@@ -36,27 +37,15 @@
     //! Forgets batches that are done with and were submitted before \a submittedBeforeMs (true
     //! time).
     auto forget(std::int64_t submittedBeforeMs) -> void;
-    //! Bytes of bodies and texts that are held.
-    auto bytes() const -> std::size_t { return m_bytes; }
 
 private:
-    struct Parts
-    {
-        std::vector<std::string> data;
-        std::size_t present = 0;
-    };
-
-    auto applyPart(const record::SubmissionPart &part, std::uint64_t offset) -> void;
-    auto accept(Submission submission) -> void;
-    auto applyResults(const record::Results &results) -> void;
-    auto applyEnd(const std::string &id) -> void;
-    auto releaseBody(Item &item) -> void;
+    auto accept(const record::BatchAccepted &accepted) -> void;
+    auto list(const record::ListedResults &listed) -> void;
+    auto end(const std::string &id) -> void;
 
     BatchLogHooks m_hooks;
     std::map<std::string, std::unique_ptr<Batch>> m_batches;
-    std::map<std::string, Parts> m_parts; //!< Incomplete submissions by attempt.
-    std::set<std::string> m_endedEarly;   //!< Ends that were read before their batch.
-    std::size_t m_bytes = 0;
+    std::set<std::string> m_endedEarly; //!< Ends that were read before their batch.
 };
 
 } // namespace nutmegplank::version::batch
--- a/src/version/batch/internal/batchcodec.cpp
+++ b/src/version/batch/internal/batchcodec.cpp
@@ -10,15 +10,16 @@
 auto toMessage(const Submission &submission) -> record::Submission
 {
     auto message = record::Submission();
-    message.set_id(submission.id);
-    message.set_host(submission.host);
-    message.set_path(submission.path);
-    message.set_workspace(submission.workspace);
-    message.set_model(submission.model);
-    message.set_min_version(submission.minVersion);
-    message.set_step(submission.step);
-    message.set_group_count(submission.groupCount);
-    message.set_submitted_ms(submission.submittedMs);
+    const auto &head = submission.head;
+    message.set_id(head.id);
+    message.set_host(head.host);
+    message.set_path(head.path);
+    message.set_workspace(head.workspace);
+    message.set_model(head.model);
+    message.set_min_version(head.minVersion);
+    message.set_step(head.step);
+    message.set_group_count(head.groupCount);
+    message.set_submitted_ms(head.submittedMs);
     for (const auto &item : submission.items) {
         auto &added = *message.add_items();
         added.set_id(item.id);
@@ -62,9 +63,9 @@
     const auto count = std::max<std::size_t>(1, (data.size() + partBytes - 1) / partBytes);
     auto records = std::vector<std::string>();
     for (auto index = std::size_t(0); index < count; ++index) {
-        auto message = record::BatchRecord();
+        auto message = record::BulkRecord();
         auto &part = *message.mutable_part();
-        part.set_batch_id(submission.id);
+        part.set_batch_id(submission.head.id);
         part.set_attempt(attempt);
         part.set_index(static_cast<std::uint32_t>(index));
         part.set_count(static_cast<std::uint32_t>(count));
@@ -76,12 +77,12 @@
 
 auto encodeResults(const std::string &batchId, const std::vector<Result> &results) -> std::string
 {
-    auto message = record::BatchRecord();
+    auto message = record::BulkRecord();
     auto &list = *message.mutable_results();
     list.set_batch_id(batchId);
     for (const auto &result : results) {
         auto &added = *list.add_results();
-        added.set_item(result.item);
+        added.set_item_id(result.itemId);
         added.set_lost(result.lost);
         added.set_text(result.text);
         for (const auto version : result.versions)
@@ -90,38 +91,102 @@
     return message.SerializeAsString();
 }
 
+auto encodeAccepted(const Submission &submission, std::uint64_t bulkOffset,
+                    const std::string &attempt) -> std::string
+{
+    auto message = record::IndexRecord();
+    auto &accepted = *message.mutable_accepted();
+    const auto &head = submission.head;
+    accepted.set_id(head.id);
+    accepted.set_host(head.host);
+    accepted.set_path(head.path);
+    accepted.set_workspace(head.workspace);
+    accepted.set_model(head.model);
+    accepted.set_min_version(head.minVersion);
+    accepted.set_step(head.step);
+    accepted.set_group_count(head.groupCount);
+    accepted.set_submitted_ms(head.submittedMs);
+    accepted.set_item_count(static_cast<std::uint32_t>(submission.items.size()));
+    accepted.set_bulk_offset(bulkOffset);
+    accepted.set_attempt(attempt);
+    return message.SerializeAsString();
+}
+
+auto encodeListed(const std::string &batchId, std::uint64_t bulkOffset,
+                  const std::vector<Result> &results) -> std::string
+{
+    auto message = record::IndexRecord();
+    auto &listed = *message.mutable_listed();
+    listed.set_batch_id(batchId);
+    listed.set_bulk_offset(bulkOffset);
+    for (const auto &result : results)
+        listed.add_items(result.item);
+    return message.SerializeAsString();
+}
+
 auto encodeEnd(const std::string &batchId) -> std::string
 {
-    auto message = record::BatchRecord();
+    auto message = record::IndexRecord();
     message.mutable_end()->set_batch_id(batchId);
     return message.SerializeAsString();
 }
 
-auto decodeSubmission(const std::string &data) -> std::optional<Submission>
+auto SubmissionAssembler::take(const std::string &data) -> void
+{
+    auto message = record::BulkRecord();
+    if (!message.ParseFromString(data) || !message.has_part())
+        return;
+    const auto &part = message.part();
+    if (part.batch_id() != m_batchId || part.attempt() != m_attempt || part.index() >= part.count())
+        return;
+    m_parts.resize(part.count());
+    if (!m_parts[part.index()].empty())
+        return;
+    m_parts[part.index()] = part.data();
+    ++m_present;
+}
+
+auto SubmissionAssembler::finish() const -> std::optional<Submission>
 {
+    auto data = std::string();
+    for (const auto &part : m_parts)
+        data += part;
     auto message = record::Submission();
     if (!message.ParseFromString(data))
         return std::nullopt;
     auto submission = Submission();
-    submission.id = message.id();
-    submission.host = message.host();
-    submission.path = message.path();
-    submission.workspace = message.workspace();
-    submission.model = message.model();
-    submission.minVersion = message.min_version();
-    submission.step = message.step();
-    submission.groupCount = message.group_count();
-    submission.submittedMs = message.submitted_ms();
+    auto &head = submission.head;
+    head.id = message.id();
+    head.host = message.host();
+    head.path = message.path();
+    head.workspace = message.workspace();
+    head.model = message.model();
+    head.minVersion = message.min_version();
+    head.step = message.step();
+    head.groupCount = message.group_count();
+    head.submittedMs = message.submitted_ms();
+    submission.items.reserve(static_cast<std::size_t>(message.items_size()));
     for (const auto &item : message.items())
         submission.items.push_back(fromMessage(item));
     return submission;
 }
 
-auto decodeResult(const record::Result &message) -> Result
+auto decodeResults(const std::string &data, const std::string &batchId)
+    -> std::optional<std::vector<Result>>
 {
-    auto result = Result { message.item(), message.lost(), message.text(), {} };
-    result.versions.assign(message.versions().begin(), message.versions().end());
-    return result;
+    auto message = record::BulkRecord();
+    if (!message.ParseFromString(data) || !message.has_results()
+        || message.results().batch_id() != batchId)
+        return std::nullopt;
+    auto results = std::vector<Result>();
+    for (auto &stored : *message.mutable_results()->mutable_results()) {
+        auto &result = results.emplace_back();
+        result.itemId = stored.item_id();
+        result.lost = stored.lost();
+        result.text = std::move(*stored.mutable_text());
+        result.versions.assign(stored.versions().begin(), stored.versions().end());
+    }
+    return results;
 }
 
 } // namespace nutmegplank::version::batch
--- a/src/version/journal/ijournal.h
+++ b/src/version/journal/ijournal.h
@@ -98,6 +98,7 @@
 {
     std::size_t recordBytes = 262144;
     std::size_t callBytes = 2097152;
+    std::uint32_t partitions = 12; //!< Of each topic.
 };
 
 //! Access to the log. All calls on the executor of the calling coroutine.
--- a/src/version/leadership/leadership.cpp
+++ b/src/version/leadership/leadership.cpp
@@ -71,7 +71,13 @@
         return LeaseAction { std::move(renewal), std::nullopt };
     }
     const auto isFree = m_current.empty() || now - m_seenAt > m_times.claimAfter;
-    if (!isFree || !mayClaim || now - logAnsweredAt > m_times.logFreshness)
+    if (!isFree || !mayClaim || now - logAnsweredAt > m_times.logFreshness) {
+        m_freeSince.reset();
+        return std::nullopt;
+    }
+    if (!m_freeSince.has_value())
+        m_freeSince = now;
+    if (now - *m_freeSince < m_times.handicap)
         return std::nullopt;
     m_lastTry = now;
     auto claim = makeRecord(record::LEASE_CLAIM);
--- a/src/version/leadership/leadership.h
+++ b/src/version/leadership/leadership.h
@@ -21,6 +21,8 @@
     //! Counted by a claimant from when it read the last renewal: term and a margin for the log's
     //! answers.
     base::Duration claimAfter = std::chrono::milliseconds(1900);
+    //! How much longer this process waits than others before it claims a free lease.
+    base::Duration handicap { 0 };
     //! The log must have answered this lately for a claim, so that a claimant knows what it read.
     base::Duration logFreshness = std::chrono::milliseconds(1300);
 };
@@ -67,6 +69,7 @@
     std::map<std::string, base::TimePoint> m_sent; //!< Own records by id.
     std::uint64_t m_lastId = 0;
     base::TimePoint m_lastTry {};
+    std::optional<base::TimePoint> m_freeSince; //!< Since when the lease is known to be free.
     base::TimePoint m_validUntil {};
     bool m_released = false;
 };
