--- /dev/null
+++ b/src/platform/tests/callprotocol_tests.cpp
@@ -0,0 +1,91 @@
+#include <gtest/gtest.h>
+
+#include "platform/callprotocol.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::platform;
+using namespace std::chrono_literals;
+using connection::http::headerValue;
+using connection::http::Request;
+using request::call::CallKind;
+
+namespace {
+
+auto makeRequest(const std::string &method, const std::string &target) -> Request
+{
+    auto request = Request();
+    request.method = method;
+    request.target = target;
+    request.headers = { { "Host", "h.example" },
+                        { "Authorization", "Bearer secret" },
+                        { "X-Request-Id", "r1" },
+                        { "X-Deadline-Ms", "1500" },
+                        { "X-Wait-Ms", "1000" },
+                        { "Connection", "keep-alive" } };
+    return request;
+}
+
+} // namespace
+
+TEST(CallProtocol, CallProtocol_Paths_TellTheKindOfCall)
+{
+    const auto protocol = CallProtocol();
+    const auto read = protocol.readCall(makeRequest("GET", "/v1/lots/b1?after=12"));
+    EXPECT_EQ(read.kind, CallKind::ReadResults);
+    EXPECT_EQ(read.batchId, "b1");
+    EXPECT_EQ(read.position, 12U);
+    EXPECT_EQ(read.wait, 1000ms);
+    EXPECT_EQ(read.key, "secret");
+    const auto body = protocol.readCall(makeRequest("GET", "/v1/items/b1?id=i7"));
+    EXPECT_EQ(body.kind, CallKind::ReadBody);
+    EXPECT_EQ(body.itemId, "i7");
+    EXPECT_EQ(protocol.readCall(makeRequest("DELETE", "/v1/lots/b1")).kind, CallKind::EndBatch);
+    const auto other = protocol.readCall(makeRequest("POST", "/p/1?x=y"));
+    EXPECT_EQ(other.kind, CallKind::Request);
+    EXPECT_EQ(other.path, "/p/1");
+    EXPECT_EQ(other.timeLeft, 1500ms);
+}
+
+TEST(CallProtocol, CallProtocol_Submission_KeepsItemsAndTheirEstimates)
+{
+    const auto protocol = CallProtocol();
+    const auto call = protocol.readCall(makeRequest("POST", "/p/r1"));
+    const auto batch = protocol.readSubmission(call, R"({"step":7,"model":"m","min_version":6,"group_count":12,
+      "items":[{"id":"i1","path":"/p/3/1","headers":{"X-Token-Usage":"540,400","X-Length-Hint":"120"},
+                "body":"q83vEjRWeJA=","tokens":940,"group":"g"}]})");
+    ASSERT_TRUE(batch.ok()) << batch.status();
+    EXPECT_EQ(batch->head.id, "r1");
+    EXPECT_EQ(batch->head.minVersion, 6U);
+    const auto &item = batch->items.front();
+    EXPECT_EQ(item.body, "\xab\xcd\xef\x12\x34\x56\x78\x90");
+    EXPECT_EQ(item.promptTokens, 540U);
+    EXPECT_EQ(item.expectedOutput, 120U);
+    EXPECT_EQ(headerValue(item.headers, "X-Request-Id"), "i1");
+}
+
+TEST(CallProtocol, CallProtocol_MalformedSubmission_IsRefusedWhole)
+{
+    const auto protocol = CallProtocol();
+    const auto call = protocol.readCall(makeRequest("POST", "/p/r1"));
+    for (const auto *body : { "", "{}", R"({"items":[]})", R"({"items":[{"id":"i"}]})",
+                              R"({"items":[{"id":"i","path":"/p","body":"%%%%"}]})" })
+        EXPECT_FALSE(protocol.readSubmission(call, body).ok()) << body;
+}
+
+TEST(CallProtocol, CallProtocol_ForwardedRequest_HasNoKeyAndTheCallersHost)
+{
+    const auto forwarded = CallProtocol().forwardable(makeRequest("POST", "/p/1"));
+    EXPECT_EQ(headerValue(forwarded.headers, "Authorization"), "");
+    EXPECT_EQ(headerValue(forwarded.headers, "Connection"), "");
+    EXPECT_EQ(headerValue(forwarded.headers, "Host"), "h.example");
+    EXPECT_EQ(headerValue(forwarded.headers, "X-Request-Id"), "r1");
+}
+
+TEST(CallProtocol, CallProtocol_Refusal_SaysWhenToComeBack)
+{
+    const auto answer = CallProtocol().writeRefusal(
+        { request::call::RefusalCode::NoServer, "all are busy", 60ms }, "r1");
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_EQ(headerValue(answer.headers, "Retry-After"), "0.06");
+    EXPECT_NE(answer.body.find("no_server"), std::string::npos);
+}
--- /dev/null
+++ b/src/platform/tests/nodefile_tests.cpp
@@ -0,0 +1,64 @@
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include <gtest/gtest.h>
+
+#include "platform/nodefile.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+//! A settings file that is removed with the test.
+class NodeFile
+{
+public:
+    explicit NodeFile(const std::string &text)
+        : path(std::filesystem::temp_directory_path()
+               / ("nodefile-" + std::to_string(getpid()) + ".json"))
+    {
+        std::ofstream(path) << text;
+    }
+    ~NodeFile() { std::filesystem::remove(path); }
+
+    std::filesystem::path path;
+};
+
+constexpr auto GOOD = R"({"node_name":"n","ip":"10.0.0.1","zone":"a","region":"r","new field":[1],
+  "listen":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","directory":"10.0.0.1:3","control":"x"},
+  "limits":{"cpu_share":0.12,"memory_mb":88},
+  "bounds":{"usage_window_s":5,"grace_s":8.0,"settle_ms":1000,"strict_revoke":false},
+  "platform":{"address":"10.9.9.9:1","form":"log","parts":24,"record_bytes":262144},
+  "cloud":{"address":"10.9.9.8:1"}})";
+
+} // namespace
+
+TEST(NodeFile, NodeFile_UnknownFields_AreIgnored)
+{
+    const auto file = NodeFile(GOOD);
+    const auto settings = readNodeFile(file.path);
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    EXPECT_EQ(settings->node, "n");
+    EXPECT_EQ(settings->cpuShare, 0.12);
+    EXPECT_EQ(settings->appendLimits.partitions, 24U);
+    EXPECT_EQ(settings->usageWindow, 5s);
+}
+
+TEST(NodeFile, NodeFile_MissingOrMistypedField_IsNamed)
+{
+    const auto file = NodeFile(R"({"node_name":"n","ip":"10.0.0.1","zone":"a","region":"r",
+      "listen":{"front":"nowhere","readiness":"10.0.0.1:2","directory":"10.0.0.1:3"},
+      "platform":{"address":"10.9.9.9:1"},"bounds":{}})");
+    const auto settings = readNodeFile(file.path);
+    ASSERT_FALSE(settings.ok());
+    EXPECT_NE(settings.status().message().find("front"), absl::string_view::npos);
+    EXPECT_NE(settings.status().message().find("IP number:port"), absl::string_view::npos);
+}
+
+TEST(NodeFile, NodeFile_NoFile_IsAnError)
+{
+    EXPECT_FALSE(readNodeFile("/nowhere/node.json").ok());
+}
--- /dev/null
+++ b/src/request/rollout/tests/enginestate_tests.cpp
@@ -0,0 +1,32 @@
+#include <gtest/gtest.h>
+
+#include "request/rollout/enginestate.h"
+
+using namespace nutmegplank::request::rollout;
+using namespace std::chrono_literals;
+
+TEST(EngineStates, EngineStates_Version_OnlyGrowsInOneIncarnation)
+{
+    auto states = EngineStates();
+    states.noteVersion("e", 100, "m", 5);
+    states.noteVersion("e", 100, "m", 4);
+    EXPECT_EQ(states.version("e", 100, "m"), 5U);
+    EXPECT_EQ(states.version("e", 200, "m"), 0U);
+    states.noteVersion("e", 200, "m", 4);
+    EXPECT_EQ(states.version("e", 200, "m"), 4U);
+    states.noteVersion("e", 100, "m", 9);
+    EXPECT_EQ(states.version("e", 200, "m"), 4U);
+}
+
+TEST(EngineStates, EngineStates_SlowEngine_ShowsInItsPace)
+{
+    auto states = EngineStates();
+    for (auto round = 0; round < 30; ++round) {
+        for (const auto *engine : { "a", "b", "c" })
+            states.noteGap(engine, 40ms, 8);
+        states.noteGap("slow", 160ms, 8);
+    }
+    EXPECT_NEAR(states.pace("a"), 1.0, 0.05);
+    EXPECT_NEAR(states.pace("slow"), 4.0, 0.3);
+    EXPECT_EQ(states.pace("unknown"), 1.0);
+}
--- /dev/null
+++ b/src/request/rollout/tests/eventreader_tests.cpp
@@ -0,0 +1,47 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "request/rollout/eventreader.h"
+
+using namespace nutmegplank::request::rollout;
+
+namespace {
+
+constexpr auto STREAM = std::string_view("x-weight-versions: 3\nid: 1\ndata: one\n\n"
+                                         ": comment\n\nid: 2\ndata: two\ndata: more\n\n"
+                                         "id:3\r\ndata:three\r\n\r\n");
+
+} // namespace
+
+RC_GTEST_PROP(EventReader, EventReader_AnyCutOfTheBytes_GivesTheSameEvents, ())
+{
+    auto reader = EventReader("x-weight-versions");
+    auto rest = STREAM;
+    auto events = std::vector<Event>();
+    while (!rest.empty()) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, rest.size() + 1);
+        const auto part = reader.feed(rest.substr(0, size));
+        RC_ASSERT(part.has_value());
+        events.insert(events.end(), part->begin(), part->end());
+        rest.remove_prefix(size);
+    }
+    RC_ASSERT(events.size() == 3U);
+    RC_ASSERT(events[0].weightVersion == 3U);
+    RC_ASSERT(events[1].data == "two\nmore");
+    RC_ASSERT(events[2].id == 3U);
+    RC_ASSERT(events[2].data == "three");
+    RC_ASSERT(reader.atBoundary());
+}
+
+TEST(EventReader, EventReader_EndWithinAnEvent_IsNoBoundary)
+{
+    auto reader = EventReader("x-weight-versions");
+    ASSERT_TRUE(reader.feed("id: 1\ndata: on").has_value());
+    EXPECT_FALSE(reader.atBoundary());
+}
+
+TEST(EventReader, EventReader_EventWithoutId_IsMalformed)
+{
+    auto reader = EventReader("x-weight-versions");
+    EXPECT_FALSE(reader.feed("data: one\n\n").has_value());
+}
--- /dev/null
+++ b/src/request/rollout/tests/rolloutplacement_tests.cpp
@@ -0,0 +1,115 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "request/rollout/placement.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::request::rollout;
+
+namespace {
+
+auto makeEngine(const std::string &id, std::uint32_t slots, std::uint64_t version = 5) -> EngineLoad
+{
+    auto engine = EngineLoad();
+    engine.id = id;
+    engine.slots = slots;
+    engine.startsLeft = 1000;
+    engine.modelVersion["m"] = version;
+    return engine;
+}
+
+auto makeItem(std::size_t handle, std::uint64_t expected) -> WaitingItem
+{
+    auto item = WaitingItem();
+    item.handle = handle;
+    item.model = "m";
+    item.minVersion = 4;
+    item.expectedTokens = expected;
+    item.heldTokens = 271;
+    return item;
+}
+
+} // namespace
+
+TEST(RolloutPlacement, RolloutPlacement_FewPlaces_LongestItemsGoFirst)
+{
+    auto engines = std::vector<EngineLoad> { makeEngine("a", 1), makeEngine("b", 1) };
+    const auto placed =
+        placeItems({ makeItem(0, 100), makeItem(1, 5000), makeItem(2, 900) }, engines);
+    ASSERT_EQ(placed.size(), 2U);
+    EXPECT_EQ(placed[0].handle, 1U);
+    EXPECT_EQ(placed[1].handle, 2U);
+}
+
+TEST(RolloutPlacement, RolloutPlacement_StepOfManyItems_SpreadsOverAllEngines)
+{
+    auto engines = std::vector<EngineLoad> { makeEngine("a", 16), makeEngine("b", 16),
+                                             makeEngine("c", 16) };
+    auto items = std::vector<WaitingItem>();
+    for (auto index = std::size_t(0); index < 30; ++index)
+        items.push_back(makeItem(index, 200));
+    placeItems(items, engines);
+    for (const auto &engine : engines)
+        EXPECT_EQ(engine.running, 10U);
+}
+
+TEST(RolloutPlacement, RolloutPlacement_SlowEngine_GetsLess)
+{
+    auto engines = std::vector<EngineLoad> { makeEngine("a", 16), makeEngine("slow", 16) };
+    engines[1].pace = 4.0;
+    auto items = std::vector<WaitingItem>();
+    for (auto index = std::size_t(0); index < 10; ++index)
+        items.push_back(makeItem(index, 200));
+    placeItems(items, engines);
+    EXPECT_GE(engines[0].running, 8U);
+}
+
+TEST(RolloutPlacement, RolloutPlacement_OldWeights_GetNothing)
+{
+    auto engines = std::vector<EngineLoad> { makeEngine("old", 16, 3) };
+    EXPECT_TRUE(placeItems({ makeItem(0, 100) }, engines).empty());
+}
+
+TEST(RolloutPlacement, RolloutPlacement_FullMemory_TakesNoMore)
+{
+    auto engines = std::vector<EngineLoad> { makeEngine("a", 16) };
+    engines[0].cacheTokens = 10000;
+    engines[0].running = 1;
+    engines[0].reservedTokens = 8000;
+    EXPECT_TRUE(placeItems({ makeItem(0, 2000) }, engines).empty());
+}
+
+TEST(RolloutPlacement, RolloutPlacement_EarlierStep_GoesBeforeALongerItemOfALaterOne)
+{
+    auto engines = std::vector<EngineLoad> { makeEngine("a", 1) };
+    auto later = makeItem(0, 5000);
+    later.dueAt = base::TimePoint(std::chrono::seconds(20));
+    auto earlier = makeItem(1, 100);
+    earlier.dueAt = base::TimePoint(std::chrono::seconds(10));
+    const auto placed = placeItems({ later, earlier }, engines);
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].handle, 1U);
+}
+
+RC_GTEST_PROP(RolloutPlacement, RolloutPlacement_AnyLoad_KeepsSlotsAndColdBounds, ())
+{
+    auto engines = std::vector<EngineLoad>();
+    for (const auto *id : { "a", "b", "c" }) {
+        auto engine = makeEngine(id, *rc::gen::inRange(0U, 8U));
+        engine.startsLeft = *rc::gen::inRange(0U, 6U);
+        engines.push_back(engine);
+    }
+    const auto before = engines;
+    auto items = std::vector<WaitingItem>();
+    const auto count = *rc::gen::inRange<std::size_t>(0, 40);
+    for (auto index = std::size_t(0); index < count; ++index)
+        items.push_back(makeItem(index, *rc::gen::inRange<std::uint64_t>(1, 4000)));
+    const auto placed = placeItems(items, engines);
+    auto seen = std::set<std::size_t>();
+    for (const auto &assignment : placed)
+        RC_ASSERT(seen.insert(assignment.handle).second);
+    for (auto index = std::size_t(0); index < engines.size(); ++index) {
+        RC_ASSERT(engines[index].running <= engines[index].slots);
+        RC_ASSERT(engines[index].running - before[index].running <= before[index].startsLeft);
+    }
+}
--- /dev/null
+++ b/src/request/rollout/tests/transcript_tests.cpp
@@ -0,0 +1,62 @@
+#include <gtest/gtest.h>
+
+#include "request/rollout/transcript.h"
+
+using namespace nutmegplank::request::rollout;
+
+namespace {
+
+auto event(std::uint64_t id, std::string data, std::optional<std::uint64_t> version = {}) -> Event
+{
+    return { id, std::move(data), version };
+}
+
+} // namespace
+
+TEST(Transcript, Transcript_ResumedAtAnotherEngine_NamesBothVersions)
+{
+    auto transcript = Transcript({ 4, false });
+    transcript.beginRun(4);
+    EXPECT_EQ(transcript.append(event(1, "a")), AppendVerdict::Taken);
+    transcript.beginRun(5);
+    EXPECT_EQ(transcript.append(event(2, "b")), AppendVerdict::Taken);
+    EXPECT_EQ(transcript.text(), "a\nb");
+    EXPECT_EQ(transcript.versions(), (std::vector<std::uint64_t> { 4, 5 }));
+}
+
+TEST(Transcript, Transcript_RunWithoutAnEvent_AddsNoVersion)
+{
+    auto transcript = Transcript({ 4, false });
+    transcript.beginRun(4);
+    transcript.append(event(1, "a"));
+    transcript.beginRun(5);
+    EXPECT_EQ(transcript.versions(), std::vector<std::uint64_t> { 4 });
+}
+
+TEST(Transcript, Transcript_MissingOrRepeatedEvent_IsAGap)
+{
+    auto transcript = Transcript({ 0, false });
+    transcript.beginRun(1);
+    EXPECT_EQ(transcript.append(event(2, "late start")), AppendVerdict::Gap);
+    EXPECT_EQ(transcript.append(event(1, "a")), AppendVerdict::Taken);
+    EXPECT_EQ(transcript.append(event(1, "a")), AppendVerdict::Gap);
+    EXPECT_EQ(transcript.append(event(3, "c")), AppendVerdict::Gap);
+}
+
+TEST(Transcript, Transcript_OldOrUnnamedWeights_AreNotTaken)
+{
+    auto transcript = Transcript({ 4, false });
+    transcript.beginRun({});
+    EXPECT_EQ(transcript.append(event(1, "a")), AppendVerdict::NoVersion);
+    transcript.beginRun(3);
+    EXPECT_EQ(transcript.append(event(1, "a")), AppendVerdict::OldVersion);
+    EXPECT_TRUE(transcript.empty());
+}
+
+TEST(Transcript, Transcript_SingleVersionRoute_TakesNoSecondVersion)
+{
+    auto transcript = Transcript({ 0, true });
+    transcript.beginRun(4);
+    EXPECT_EQ(transcript.append(event(1, "a")), AppendVerdict::Taken);
+    EXPECT_EQ(transcript.append(event(2, "b", 5)), AppendVerdict::Mixed);
+}
--- /dev/null
+++ b/src/version/batch/tests/batchcodec_tests.cpp
@@ -0,0 +1,65 @@
+#include <gtest/gtest.h>
+
+#include "version/batch/batchcodec.h"
+
+using namespace nutmegplank::version::batch;
+
+namespace {
+
+auto largeSubmission() -> Submission
+{
+    auto submission = Submission();
+    submission.head.id = "b";
+    submission.head.minVersion = 7;
+    for (auto index = 0; index < 20; ++index) {
+        auto item = Item();
+        item.id = "item" + std::to_string(index);
+        item.body = std::string(500, static_cast<char>(index));
+        item.headers = { { "X-Model", "m" } };
+        item.promptTokens = 271;
+        submission.items.push_back(item);
+    }
+    return submission;
+}
+
+} // namespace
+
+TEST(BatchCodec, BatchCodec_SubmissionLargerThanARecord_ComesBackWhole)
+{
+    constexpr auto RECORD_BYTES = std::size_t(2048);
+    const auto records = encodeSubmission(largeSubmission(), "try", RECORD_BYTES);
+    EXPECT_GT(records.size(), 5U);
+    auto assembler = SubmissionAssembler("b", "try");
+    for (const auto &record : records) {
+        EXPECT_LE(record.size(), RECORD_BYTES);
+        EXPECT_FALSE(assembler.complete());
+        assembler.take(record);
+    }
+    ASSERT_TRUE(assembler.complete());
+    const auto read = assembler.finish();
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->head.minVersion, 7U);
+    EXPECT_EQ(read->items.size(), 20U);
+    EXPECT_EQ(read->items[19].body, std::string(500, '\x13'));
+}
+
+TEST(BatchCodec, BatchCodec_PartsOfAnotherTry_ArePassedOver)
+{
+    const auto mine = encodeSubmission(largeSubmission(), "mine", 1 << 20);
+    const auto other = encodeSubmission(largeSubmission(), "other", 1 << 20);
+    auto assembler = SubmissionAssembler("b", "mine");
+    assembler.take(other.front());
+    assembler.take("no record");
+    EXPECT_FALSE(assembler.complete());
+    assembler.take(mine.front());
+    EXPECT_TRUE(assembler.complete());
+}
+
+TEST(BatchCodec, BatchCodec_ResultsOfAnotherBatch_AreNone)
+{
+    const auto record = encodeResults("b", { { 0, "i", false, "text", { 3, 4 } } });
+    EXPECT_FALSE(decodeResults(record, "c").has_value());
+    const auto results = decodeResults(record, "b");
+    ASSERT_TRUE(results.has_value());
+    EXPECT_EQ(results->front().versions, (std::vector<std::uint64_t> { 3, 4 }));
+}
--- /dev/null
+++ b/src/version/batch/tests/batchlog_tests.cpp
@@ -0,0 +1,113 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "base/text.h"
+#include "version/batch/batchcodec.h"
+#include "version/batch/batchlog.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::version::batch;
+
+namespace {
+
+auto makeSubmission(const std::string &id, std::size_t items) -> Submission
+{
+    auto submission = Submission();
+    submission.head.id = id;
+    submission.head.workspace = "amend";
+    submission.items.resize(items);
+    return submission;
+}
+
+auto makeResults(const std::vector<std::uint32_t> &items) -> std::vector<Result>
+{
+    auto results = std::vector<Result>();
+    for (const auto item : items)
+        results.push_back({ item, base::concat("i", item), false, "text", { 1 } });
+    return results;
+}
+
+//! Applies records in order, as one reader of the log does.
+class Reader
+{
+public:
+    auto read(const std::string &data) -> void { log.apply({ m_offset++, data }); }
+    BatchLog log;
+
+private:
+    std::uint64_t m_offset = 0;
+};
+
+} // namespace
+
+TEST(BatchLog, BatchLog_SameBatchTwice_FirstHolds)
+{
+    auto reader = Reader();
+    reader.read(encodeAccepted(makeSubmission("b", 3), 10, "one"));
+    reader.read(encodeAccepted(makeSubmission("b", 3), 99, "two"));
+    ASSERT_NE(reader.log.find("b"), nullptr);
+    EXPECT_EQ(reader.log.find("b")->bulkOffset, 10U);
+    EXPECT_EQ(reader.log.find("b")->attempt, "one");
+}
+
+TEST(BatchLog, BatchLog_ItemFinishedTwice_StandsOnceAtItsFirstPosition)
+{
+    auto reader = Reader();
+    reader.read(encodeAccepted(makeSubmission("b", 3), 0, "one"));
+    reader.read(encodeListed("b", 5, makeResults({ 2, 0 })));
+    reader.read(encodeListed("b", 9, makeResults({ 0, 1 })));
+    const auto &batch = *reader.log.find("b");
+    EXPECT_EQ(batch.listedCount, 3U);
+    ASSERT_EQ(batch.groups.size(), 2U);
+    EXPECT_EQ(batch.groups[1].firstPosition, 2U);
+    EXPECT_EQ(batch.groups[1].kept, std::vector<std::uint32_t> { 1 });
+    EXPECT_FALSE(batch.open());
+}
+
+TEST(BatchLog, BatchLog_EndBeforeBatch_BatchIsNotRun)
+{
+    auto reader = Reader();
+    reader.read(encodeEnd("b"));
+    reader.read(encodeAccepted(makeSubmission("b", 3), 0, "one"));
+    EXPECT_FALSE(reader.log.find("b")->open());
+}
+
+TEST(BatchLog, BatchLog_MalformedRecord_ChangesNothing)
+{
+    auto reader = Reader();
+    reader.read(encodeAccepted(makeSubmission("b", 1), 0, "one"));
+    reader.read("\xff\xff\xff");
+    EXPECT_TRUE(reader.log.find("b")->open());
+}
+
+TEST(BatchLog, BatchLog_OpenBatch_IsNeverForgotten)
+{
+    auto reader = Reader();
+    reader.read(encodeAccepted(makeSubmission("open", 1), 0, "one"));
+    reader.read(encodeAccepted(makeSubmission("ended", 1), 0, "two"));
+    reader.read(encodeEnd("ended"));
+    reader.log.forget(1);
+    EXPECT_NE(reader.log.find("open"), nullptr);
+    EXPECT_EQ(reader.log.find("ended"), nullptr);
+}
+
+RC_GTEST_PROP(BatchLog, BatchLog_AnyRecords_PositionsOnlyGrowAndEachItemStandsOnce, ())
+{
+    constexpr auto ITEMS = 6U;
+    auto reader = Reader();
+    reader.read(encodeAccepted(makeSubmission("b", ITEMS), 0, "one"));
+    const auto steps = *rc::gen::container<std::vector<std::vector<std::uint32_t>>>(
+        rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange(0U, ITEMS + 2)));
+    auto seen = std::set<std::uint32_t>();
+    auto offset = std::uint64_t(0);
+    for (const auto &items : steps) {
+        const auto before = reader.log.find("b")->listedCount;
+        reader.read(encodeListed("b", ++offset, makeResults(items)));
+        for (const auto item : items) {
+            if (item < ITEMS)
+                seen.insert(item);
+        }
+        RC_ASSERT(reader.log.find("b")->listedCount >= before);
+        RC_ASSERT(reader.log.find("b")->listedCount == seen.size());
+    }
+}
--- /dev/null
+++ b/src/version/leadership/tests/leadership_tests.cpp
@@ -0,0 +1,207 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "version/leadership/leadership.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::version;
+using namespace nutmegplank::version::leadership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto START = base::TimePoint(base::Duration(1h));
+
+//! The partition of the lease: appends with or without a condition on the end.
+class FakeLog
+{
+public:
+    auto append(const LeaseAction &action) -> bool
+    {
+        if (action.at.has_value() && *action.at != records.size())
+            return false;
+        records.push_back({ records.size(), action.record.SerializeAsString() });
+        return true;
+    }
+
+    std::vector<journal::Record> records;
+};
+
+//! A process with what it has read so far.
+class Process
+{
+public:
+    explicit Process(std::string name, LeaseTimes times = {})
+        : lease(std::move(name), times)
+    { }
+
+    auto readAll(const FakeLog &log, base::TimePoint now) -> void
+    {
+        for (; m_position < log.records.size(); ++m_position)
+            lease.apply(log.records[m_position], now);
+        answeredAt = now;
+    }
+
+    Leadership lease;
+    base::TimePoint answeredAt {};
+
+private:
+    std::size_t m_position = 0;
+};
+
+auto step(Process &process, FakeLog &log, base::TimePoint now) -> void
+{
+    const auto action = process.lease.next(now, process.answeredAt, true);
+    if (action.has_value())
+        log.append(*action);
+}
+
+} // namespace
+
+TEST(Leadership, Leadership_TwoClaimAtOnce_OneHolds)
+{
+    auto log = FakeLog();
+    auto first = Process("a");
+    auto second = Process("b");
+    first.readAll(log, START);
+    second.readAll(log, START);
+    const auto claimOfFirst = first.lease.next(START, START, true);
+    const auto claimOfSecond = second.lease.next(START, START, true);
+    ASSERT_TRUE(claimOfFirst.has_value());
+    ASSERT_TRUE(claimOfSecond.has_value());
+    EXPECT_TRUE(log.append(*claimOfFirst));
+    EXPECT_FALSE(log.append(*claimOfSecond));
+    first.readAll(log, START + 10ms);
+    second.readAll(log, START + 10ms);
+    EXPECT_EQ(first.lease.fence(START + 10ms), 1U);
+    EXPECT_FALSE(second.lease.fence(START + 10ms).has_value());
+}
+
+TEST(Leadership, Leadership_FrozenHolder_IsNotInChargeWhenItWakes)
+{
+    auto log = FakeLog();
+    auto holder = Process("a");
+    holder.readAll(log, START);
+    step(holder, log, START);
+    holder.readAll(log, START + 5ms);
+    ASSERT_TRUE(holder.lease.fence(START + 10ms).has_value());
+    EXPECT_FALSE(holder.lease.fence(START + 4s).has_value());
+    EXPECT_TRUE(holder.lease.uncontestedFence().has_value());
+}
+
+TEST(Leadership, Leadership_SilentHolder_IsFollowedAfterItsTermAndTheMargin)
+{
+    auto log = FakeLog();
+    auto holder = Process("a");
+    auto other = Process("b");
+    holder.readAll(log, START);
+    step(holder, log, START);
+    other.readAll(log, START + 5ms);
+    other.readAll(log, START + 1800ms);
+    EXPECT_FALSE(other.lease.next(START + 1800ms, START + 1800ms, true).has_value());
+    other.readAll(log, START + 2s);
+    const auto claim = other.lease.next(START + 2s, START + 2s, true);
+    ASSERT_TRUE(claim.has_value());
+    log.append(*claim);
+    other.readAll(log, START + 2s);
+    EXPECT_EQ(other.lease.fence(START + 2s), 2U);
+}
+
+TEST(Leadership, Leadership_LogAway_NobodyClaims)
+{
+    auto log = FakeLog();
+    auto other = Process("b");
+    other.readAll(log, START);
+    EXPECT_FALSE(other.lease.next(START + 5s, START, true).has_value());
+}
+
+TEST(Leadership, Leadership_SmallMachine_LeavesTheLeaseToALargerOne)
+{
+    auto log = FakeLog();
+    auto times = LeaseTimes();
+    times.handicap = 800ms;
+    auto small = Process("small", times);
+    small.readAll(log, START);
+    EXPECT_FALSE(small.lease.next(START, START, true).has_value());
+    EXPECT_FALSE(small.lease.next(START + 500ms, START + 500ms, true).has_value());
+    EXPECT_TRUE(small.lease.next(START + 900ms, START + 900ms, true).has_value());
+}
+
+TEST(Leadership, Leadership_Release_FreesTheLeaseAtOnce)
+{
+    auto log = FakeLog();
+    auto holder = Process("a");
+    auto other = Process("b");
+    holder.readAll(log, START);
+    step(holder, log, START);
+    holder.readAll(log, START);
+    log.append(*holder.lease.release());
+    other.readAll(log, START + 20ms);
+    EXPECT_TRUE(other.lease.next(START + 20ms, START + 20ms, true).has_value());
+    EXPECT_FALSE(holder.lease.next(START + 2s, START + 2s, true).has_value());
+}
+
+TEST(Leadership, Leadership_LateRenewalOfAFormerHolder_ChangesNothing)
+{
+    auto log = FakeLog();
+    auto former = Process("a");
+    auto other = Process("b");
+    former.readAll(log, START);
+    step(former, log, START);
+    former.readAll(log, START);
+    const auto late = former.lease.next(START + 500ms, START + 500ms, true);
+    other.readAll(log, START);
+    other.readAll(log, START + 3s);
+    step(other, log, START + 3s);
+    log.append(*late);
+    other.readAll(log, START + 3010ms);
+    EXPECT_EQ(other.lease.holder(), "b");
+    EXPECT_TRUE(other.lease.fence(START + 3010ms).has_value());
+}
+
+TEST(Leadership, Leadership_ClaimOutOfHistory_IsKnownByItsRenewal)
+{
+    auto renewal = record::LeaseRecord();
+    renewal.set_kind(record::LEASE_RENEWAL);
+    renewal.set_holder("a");
+    renewal.set_fence(41);
+    auto other = Leadership("b", {});
+    other.apply({ 900, renewal.SerializeAsString() }, START);
+    EXPECT_EQ(other.holder(), "a");
+    EXPECT_FALSE(other.next(START + 100ms, START + 100ms, true).has_value());
+}
+
+//! Processes that read late, lose appends and stand still: never two of them in charge at once, and
+//! fencing numbers only grow.
+RC_GTEST_PROP(Leadership, Leadership_AnySchedule_NeverTwoInCharge, ())
+{
+    auto log = FakeLog();
+    auto processes = std::vector<Process>();
+    for (const auto *name : { "a", "b", "c" })
+        processes.emplace_back(name);
+    auto now = START;
+    auto highest = std::uint64_t(0);
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        400, rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 100)));
+    for (const auto &[who, luck] : steps) {
+        now += std::chrono::milliseconds(luck);
+        auto &process = processes[static_cast<std::size_t>(who)];
+        if (luck % 7 != 0)
+            process.readAll(log, now);
+        const auto action = process.lease.next(now, process.answeredAt, true);
+        if (action.has_value() && luck % 5 != 0)
+            log.append(*action);
+        if (luck == 99)
+            now += 3s;
+        auto inCharge = 0;
+        for (const auto &each : processes) {
+            const auto fence = each.lease.fence(now);
+            if (!fence.has_value())
+                continue;
+            ++inCharge;
+            RC_ASSERT(*fence >= highest);
+            highest = *fence;
+        }
+        RC_ASSERT(inCharge <= 1);
+    }
+}
--- /dev/null
+++ b/src/version/metering/tests/windowmeter_tests.cpp
@@ -0,0 +1,70 @@
+#include <gtest/gtest.h>
+
+#include "version/metering/windowmeter.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::version;
+using namespace nutmegplank::version::metering;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto WINDOW = 5s;
+
+auto applyAll(MeterLog &log, const std::vector<record::MeterRecord> &records) -> void
+{
+    for (const auto &record : records)
+        log.apply({ 0, record.SerializeAsString() });
+}
+
+} // namespace
+
+TEST(WindowMeter, WindowMeter_TwoProcesses_AreSummedByWindow)
+{
+    auto first = LocalMeter("a", WINDOW);
+    auto second = LocalMeter("b", WINDOW);
+    first.count("cafe", 10'001);
+    first.count("cafe", 14'999);
+    first.count("cafe", 15'000);
+    second.count("cafe", 10'500);
+    auto log = MeterLog();
+    applyAll(log, first.takeChanged());
+    applyAll(log, second.takeChanged());
+    EXPECT_EQ(log.sum(2)["cafe"], 3U);
+    EXPECT_EQ(log.sum(3)["cafe"], 1U);
+}
+
+TEST(WindowMeter, WindowMeter_RecordTwiceOrLate_CountsOnce)
+{
+    auto meter = LocalMeter("a", WINDOW);
+    auto log = MeterLog();
+    meter.count("cafe", 10'000);
+    const auto early = meter.takeChanged();
+    meter.count("cafe", 10'001);
+    const auto late = meter.takeChanged();
+    applyAll(log, late);
+    applyAll(log, early);
+    applyAll(log, late);
+    EXPECT_EQ(log.sum(2)["cafe"], 2U);
+}
+
+TEST(WindowMeter, WindowMeter_FailedAppend_IsTakenAgain)
+{
+    auto meter = LocalMeter("a", WINDOW);
+    meter.count("cafe", 10'000);
+    const auto records = meter.takeChanged();
+    EXPECT_TRUE(meter.takeChanged().empty());
+    meter.giveBack(records);
+    EXPECT_EQ(meter.takeChanged().size(), 1U);
+}
+
+TEST(WindowMeter, WindowMeter_WindowClosedTwice_FirstFiguresHold)
+{
+    auto log = MeterLog();
+    log.apply({ 0, encodeClosed({ 7, { { "cafe", 4 } } }) });
+    log.apply({ 1, encodeClosed({ 7, { { "cafe", 5 } } }) });
+    ASSERT_TRUE(log.closed(7).has_value());
+    EXPECT_EQ(log.closed(7)->counts.at("cafe"), 4U);
+    EXPECT_EQ(log.newestClosed(), 7U);
+    EXPECT_FALSE(log.closed(8).has_value());
+}
--- /dev/null
+++ b/src/version/routing/tests/routingtable_tests.cpp
@@ -0,0 +1,52 @@
+#include <gtest/gtest.h>
+
+#include "base/hash.h"
+#include "version/routing/routingtable.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::version::routing;
+
+namespace {
+
+auto makeTable() -> RoutingTable
+{
+    auto table = RoutingTable();
+    for (const auto *prefix : { "/a/", "/a/b/", "/c/" }) {
+        auto route = Route();
+        route.name = prefix;
+        route.host = "h";
+        route.pathPrefix = prefix;
+        route.services = { { "one", 90 }, { "two", 10 } };
+        table.routes.push_back(route);
+    }
+    table.workspaces[base::sha256Hex("key")] = { "cafe", std::nullopt };
+    return table;
+}
+
+} // namespace
+
+TEST(RoutingTable, RoutingTable_LongestPrefixOfTheHost_Wins)
+{
+    const auto table = makeTable();
+    EXPECT_EQ(table.findRoute("h", "/a/b/1")->name, "/a/b/");
+    EXPECT_EQ(table.findRoute("h", "/a/1")->name, "/a/");
+    EXPECT_EQ(table.findRoute("other", "/a/1"), nullptr);
+    EXPECT_EQ(table.findRoute("h", "/a"), nullptr);
+}
+
+TEST(RoutingTable, RoutingTable_Key_IsKnownByItsHashOnly)
+{
+    const auto table = makeTable();
+    ASSERT_NE(table.workspaceOf("key"), nullptr);
+    EXPECT_EQ(table.workspaceOf("key")->name, "cafe");
+    EXPECT_EQ(table.workspaceOf("KEY"), nullptr);
+    EXPECT_EQ(table.workspaces.count("key"), 0U);
+}
+
+TEST(RoutingTable, RoutingTable_Split_FollowsTheWeights)
+{
+    const auto table = makeTable();
+    EXPECT_EQ(pickService(table.routes[0], 0.0), "one");
+    EXPECT_EQ(pickService(table.routes[0], 0.89), "one");
+    EXPECT_EQ(pickService(table.routes[0], 0.91), "two");
+}
