Batches are relayed to another machine and held while the log is away

Ruled out: engines and weights (all other steps in aim). Change: a machine without the log hands the batch to another one, then holds it for half of its caller's time; only then it refuses, with 'not run' only if no append can still take effect.

--- a/src/app/node/batchstore.cpp
+++ b/src/app/node/batchstore.cpp
@@ -103,13 +103,12 @@
     co_return result;
 }
 
-auto BatchStore::keep(version::batch::Submission submission)
+auto BatchStore::keep(SubmissionPtr kept)
     -> asio::awaitable<journal::AppendResult>
 {
     const auto attempt = base::concat(m_process, "/", ++m_attempts);
-    auto records = version::batch::encodeSubmission(submission, attempt,
-                                                    m_journal.limits().recordBytes);
-    const auto kept = std::make_shared<const version::batch::Submission>(std::move(submission));
+    auto records =
+        version::batch::encodeSubmission(*kept, attempt, m_journal.limits().recordBytes);
     auto stored = co_await storeBulk(kept->head.id, std::move(records));
     if (stored.outcome != AppendOutcome::Done) {
         // Without an index record there is no batch, whatever became of its parts.
--- a/src/app/node/batchstore.h
+++ b/src/app/node/batchstore.h
@@ -45,7 +45,7 @@
     auto forget(std::int64_t submittedBeforeMs) -> void { m_log.forget(submittedBeforeMs); }
 
     //! Puts a batch into the log.
-    auto keep(version::batch::Submission submission)
+    auto keep(SubmissionPtr submission)
         -> boost::asio::awaitable<version::journal::AppendResult>;
     //! Puts the end of a batch into the log.
     auto end(std::string batchId) -> boost::asio::awaitable<version::journal::AppendResult>;
--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -20,6 +20,7 @@
 using version::journal::AppendOutcome;
 using version::routing::RouteKind;
 
+constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 //! Longest wait of a reader for a result.
 constexpr auto LONGEST_WAIT = std::chrono::milliseconds(1000);
 //! A batch that was accepted elsewhere a moment ago is read within this.
@@ -28,7 +29,12 @@
 constexpr auto LATE_APPEND = std::chrono::milliseconds(700);
 //! When a caller that found no free server may come back: one request's duration.
 constexpr auto SERVER_RETRY = std::chrono::milliseconds(60);
-constexpr auto STORE_RETRY = std::chrono::milliseconds(500);
+constexpr auto STORE_RETRY = std::chrono::milliseconds(1500);
+//! A batch is held for this part of its caller's time: enough for an outage of some seconds, and
+//! the caller can still come back once.
+constexpr auto HOLD_PART = 2;
+constexpr auto HOLD_CHECK = std::chrono::milliseconds(50);
+constexpr auto RELAY_EVERY = std::chrono::milliseconds(1000);
 constexpr auto CONDEMNED_RETRY = std::chrono::seconds(60);
 //! Before a configuration is known; it is read within a second of the start.
 constexpr auto START_RETRY = std::chrono::milliseconds(400);
@@ -156,10 +162,13 @@
         co_return;
     }
     auto answer = Answer();
-    if (isRequest)
-        answer = co_await submit(exchange, request);
-    else
+    if (isRequest) {
+        const auto handle = std::make_shared<request::forward::ForwardHandle>();
+        responder.onCallerGone([handle] { handle->cancel(); });
+        answer = co_await submit(exchange, request, *route, handle);
+    } else {
         answer = co_await batchCall(exchange);
+    }
     noteAnswer(exchange, answer.status, "batch call");
     co_await responder.respond(std::move(answer));
 }
@@ -206,7 +215,10 @@
     co_await responder.respond(std::move(answer));
 }
 
-auto CallService::submit(const Exchange &exchange, const http::Request &request)
+//! Keeps a batch. While the log is away it is offered to other machines and held for a part of its
+//! caller's time, since a caller that is turned away twice gives its whole step up.
+auto CallService::submit(const Exchange &exchange, const http::Request &request,
+                         const version::routing::Route &route, HandlePtr handle)
     -> asio::awaitable<Answer>
 {
     auto submission = m_parts.protocol.readSubmission(exchange.call, request.body);
@@ -216,31 +228,66 @@
     const auto &id = exchange.call.requestId;
     if (m_parts.batches.log().find(id) != nullptr)
         co_return m_parts.protocol.writeAccepted(id);
-    if (!m_parts.batches.reachable())
-        co_return refuse(exchange,
-                         { RefusalCode::StoreAway, "the log does not answer", STORE_RETRY });
     submission->head.workspace = exchange.workspace;
     submission->head.submittedMs = m_parts.trueTime.milliseconds(exchange.receivedAt);
-    const auto result = co_await m_parts.batches.keep(std::move(*submission));
+    const auto batch = std::make_shared<const version::batch::Submission>(std::move(*submission));
+    const auto relayed = Relay::wasRelayed(request);
+    auto patience = route.timeout;
+    if (exchange.call.timeLeft.count() > 0)
+        patience = std::min(patience, exchange.call.timeLeft);
+    const auto holdUntil =
+        exchange.receivedAt + (relayed ? base::Duration(0) : patience / HOLD_PART);
+    auto mayBeKept = false;
+    auto detail = std::string("the log does not answer");
+    auto nextRelay = exchange.receivedAt;
+    auto timer = asio::steady_timer(m_parts.context);
+    while (!handle->cancelled()) {
+        if (m_parts.batches.reachable()) {
+            const auto result = co_await m_parts.batches.keep(batch);
+            noteKept(exchange, result);
+            if (result.outcome == AppendOutcome::Done)
+                co_return m_parts.protocol.writeAccepted(id);
+            mayBeKept = mayBeKept || result.outcome == AppendOutcome::Unknown;
+            detail = result.detail;
+        }
+        const auto now = process::clock::now();
+        if (!relayed && now >= nextRelay) {
+            nextRelay = now + RELAY_EVERY;
+            const auto elsewhere = co_await m_parts.relay.send(request);
+            if (elsewhere.end == RelayEnd::Answered)
+                co_return m_parts.protocol.writeAccepted(id);
+            mayBeKept = mayBeKept || elsewhere.end == RelayEnd::Unknown;
+        }
+        // What was perhaps kept shows up in the index.
+        if (m_parts.batches.log().find(id) != nullptr)
+            co_return m_parts.protocol.writeAccepted(id);
+        if (process::clock::now() >= holdUntil)
+            break;
+        timer.expires_after(HOLD_CHECK);
+        co_await timer.async_wait(USE_TUPLE);
+    }
+    if (!mayBeKept)
+        co_return refuse(exchange, { RefusalCode::StoreAway, detail, STORE_RETRY });
+    // Nothing may be promised before the log has told.
+    const auto until = process::clock::now() + LATE_APPEND;
+    while (m_parts.batches.log().find(id) == nullptr && process::clock::now() < until)
+        co_await m_parts.batches.waitForChange(id, until);
+    if (m_parts.batches.log().find(id) != nullptr)
+        co_return m_parts.protocol.writeAccepted(id);
+    co_return refuse(exchange, { RefusalCode::Unknown, detail });
+}
+
+auto CallService::noteKept(const Exchange &exchange,
+                           const version::journal::AppendResult &result) const -> void
+{
     logging::info("batch.submitted",
-                  { { "request", id },
+                  { { "request", exchange.call.requestId },
                     { "outcome",
                       base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) },
                     { "offset", result.offset },
                     { "detail", result.detail },
-                    { "took_ms",
+                    { "held_ms",
                       base::toMilliseconds(process::clock::now() - exchange.receivedAt) } });
-    if (result.outcome == AppendOutcome::Done)
-        co_return m_parts.protocol.writeAccepted(id);
-    if (result.outcome == AppendOutcome::NotDone)
-        co_return refuse(exchange, { RefusalCode::StoreAway, result.detail, STORE_RETRY });
-    // Perhaps kept: only the log can tell, and nothing may be promised before it does.
-    const auto until = process::clock::now() + LATE_APPEND;
-    while (m_parts.batches.log().find(id) == nullptr && process::clock::now() < until)
-        co_await m_parts.batches.waitForChange(id, until);
-    if (m_parts.batches.log().find(id) != nullptr)
-        co_return m_parts.protocol.writeAccepted(id);
-    co_return refuse(exchange, { RefusalCode::Unknown, result.detail });
 }
 
 auto CallService::batchCall(const Exchange &exchange) -> asio::awaitable<Answer>
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "app/node/batchstore.h"
+#include "app/node/relay.h"
 #include "connection/http/ihttpresponder.h"
 #include "process/clock/truetime.h"
 #include "process/metrics/metrics.h"
@@ -20,6 +21,7 @@
     const request::call::ICallProtocol &protocol;
     request::forward::Forwarder &forwarder;
     BatchStore &batches;
+    Relay &relay;
     process::clock::TrueTime &trueTime;
     process::metrics::Registry &metrics;
     std::function<version::routing::RoutingTablePtr()> routing;
@@ -45,14 +47,18 @@
     };
 
     using Answer = connection::http::Response;
+    using HandlePtr = std::shared_ptr<request::forward::ForwardHandle>;
 
     auto admit(Exchange &exchange, const version::routing::Route *route) const
         -> std::optional<request::call::Refusal>;
     auto forward(Exchange exchange, connection::http::Request request,
                  const version::routing::Route &route, connection::http::IHttpResponder &responder)
         -> boost::asio::awaitable<void>;
-    auto submit(const Exchange &exchange, const connection::http::Request &request)
+    auto submit(const Exchange &exchange, const connection::http::Request &request,
+                const version::routing::Route &route, HandlePtr handle)
         -> boost::asio::awaitable<Answer>;
+    auto noteKept(const Exchange &exchange, const version::journal::AppendResult &result) const
+        -> void;
     auto batchCall(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
     auto readResults(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
     auto readBody(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
--- a/src/app/node/membership.cpp
+++ b/src/app/node/membership.cpp
@@ -136,6 +136,16 @@
     return addresses;
 }
 
+auto Membership::peers(base::TimePoint now) const -> std::vector<std::string>
+{
+    auto endpoints = std::vector<std::string>();
+    for (const auto &member : living(now)) {
+        if (member.node != m_settings.node)
+            endpoints.push_back(member.address);
+    }
+    return endpoints;
+}
+
 auto Membership::memberCount(base::TimePoint now) const -> std::size_t
 {
     return std::max<std::size_t>(1, living(now).size());
--- a/src/app/node/membership.h
+++ b/src/app/node/membership.h
@@ -28,6 +28,8 @@
     //! Addresses that callers may use now, at most \a most, those in \a zone first.
     auto addresses(const std::string &zone, std::size_t most, base::TimePoint now) const
         -> std::vector<std::string>;
+    //! Callers' endpoints of the other machines.
+    auto peers(base::TimePoint now) const -> std::vector<std::string>;
     auto memberCount(base::TimePoint now) const -> std::size_t;
 
 private:
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -89,8 +89,9 @@
                     [this] { return m_routing.load(); }, [] { return process::clock::now(); },
                     [this] { return m_membership.memberCount(process::clock::now()); },
                     [this](const std::string &workspace) { m_conductor.countRun(workspace); } })
-    , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_trueTime, m_metrics,
-                [this] { return m_routing.load(); } })
+    , m_relay([this] { return m_membership.peers(process::clock::now()); }, m_metrics)
+    , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_relay, m_trueTime,
+                m_metrics, [this] { return m_routing.load(); } })
 { }
 
 auto Node::callerLimits() const -> http::ServerLimits
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -7,6 +7,7 @@
 #include "app/node/callservice.h"
 #include "app/node/conductor.h"
 #include "app/node/membership.h"
+#include "app/node/relay.h"
 #include "connection/http/httpserver.h"
 #include "platform/callprotocol.h"
 #include "platform/enginecontrol.h"
@@ -71,6 +72,7 @@
     Membership m_membership;
     Conductor m_conductor;
     request::forward::Forwarder m_forwarder;
+    Relay m_relay;
     CallService m_calls;
     std::unique_ptr<connection::http::HttpServer> m_callerServer;
     std::unique_ptr<connection::http::HttpServer> m_directoryServer;
