Runs leave slow engines only as far as fast places are free

Change: the moves of a tick are bounded by free places at usual pace less waiting items, and a run stays at least 250 ms.

--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -29,6 +29,8 @@
 constexpr auto FAST_PACE = 1.4;
 //! Items that need at least this many more tokens are worth moving.
 constexpr auto MOVE_TOKENS = 400U;
+//! A run is moved only after this long: its engine may just have been placed full.
+constexpr auto LEAST_RUN = std::chrono::milliseconds(250);
 //! Events between two measurements of an engine's pace.
 constexpr auto PACE_EVENTS = 3U;
 //! First pause of an item whose engine was lost; four times longer with each further loss, since the
@@ -263,6 +265,7 @@
 
 auto RolloutExecutor::watchRuns() -> void
 {
+    m_movesLeft = freeFastPlaces();
     for (auto &[id, batch] : m_batches) {
         for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
             if (batch.items[index].run != nullptr)
@@ -271,6 +274,22 @@
     }
 }
 
+//! Places at engines of usual pace that no waiting item needs. More moves than that would only send
+//! items back to slow engines.
+auto RolloutExecutor::freeFastPlaces() -> std::size_t
+{
+    auto places = std::size_t(0);
+    for (const auto &engine : collectEngines()) {
+        if (engine.pace < FAST_PACE && engine.running < engine.slots)
+            places += std::min(engine.slots - engine.running, engine.startsLeft);
+    }
+    auto waiting = std::size_t(0);
+    for (const auto &[id, batch] : m_batches)
+        waiting += static_cast<std::size_t>(
+            std::ranges::count(batch.items, ItemState::Waiting, &ItemWork::state));
+    return places > waiting ? places - waiting : 0;
+}
+
 auto RolloutExecutor::watchRun(BatchWork &batch, std::size_t index) -> void
 {
     auto &item = batch.items[index];
@@ -304,12 +323,9 @@
     if (loading || m_parts.engines.pace(item.engine) < SLOW_PACE
         || expectedOutput(batch, index) < MOVE_TOKENS || item.avoid == item.engine)
         return;
-    const auto engines = collectEngines();
-    const auto better = std::ranges::any_of(engines, [](const EngineLoad &engine) {
-        return engine.pace < FAST_PACE && engine.startsLeft > 0 && engine.running < engine.slots;
-    });
-    if (!better)
+    if (m_movesLeft == 0 || now - item.run->startedAt() < LEAST_RUN)
         return;
+    --m_movesLeft;
     item.avoid = item.engine;
     item.run->cancel(RunEnd::Cancelled, "the engine is slow");
 }
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -117,6 +117,7 @@
     auto finish(BatchWork &batch, std::size_t index, bool lost, std::string_view reason) -> void;
     auto watchRuns() -> void;
     auto watchRun(BatchWork &batch, std::size_t index) -> void;
+    auto freeFastPlaces() -> std::size_t;
     auto giveUpExpired() -> void;
     auto expectedOutput(const BatchWork &batch, std::size_t index) const -> std::uint64_t;
     auto coldRule(const std::string &service) const -> process::health::ColdRule;
@@ -132,6 +133,7 @@
     process::metrics::Counter &m_lostItems;
     process::metrics::Counter &m_runs;
     process::metrics::Distribution &m_itemSeconds;
+    std::size_t m_movesLeft = 0; //!< Runs that may leave slow engines in this tick.
     bool m_active = false;
     bool m_woken = false;
     std::uint64_t m_generation = 0;
