--- a/src/app/node/batchstore.cpp
+++ b/src/app/node/batchstore.cpp
@@ -56,8 +56,9 @@
                       m_hooks.onEnded(batch);
                   wakeWaiters(batch.head.id);
               } })
-    , m_follower(context, store, { partitionFor(PartitionUse::Index), LONG_POLL },
-                 { [this](const journal::Record &record, base::TimePoint) { m_log.apply(record); } })
+    , m_follower(
+          context, store, { partitionFor(PartitionUse::Index), LONG_POLL },
+          { [this](const journal::Record &record, base::TimePoint) { m_log.apply(record); } })
     , m_accepted(metrics.counter("nutmegplank_batches_kept_total", "Batches put into the log."))
     , m_bulkReads(metrics.counter("nutmegplank_bulk_reads_total",
                                   "Reads of bodies and texts from the log."))
@@ -88,7 +89,8 @@
     while (next != records.end()) {
         auto group = std::vector<std::string>();
         auto bytes = std::size_t(0);
-        while (next != records.end() && (group.empty() || bytes + next->size() < limits.callBytes)) {
+        while (next != records.end()
+               && (group.empty() || bytes + next->size() < limits.callBytes)) {
             bytes += next->size() + RECORD_OVERHEAD;
             group.push_back(std::move(*next));
             ++next;
@@ -103,20 +105,18 @@
     co_return result;
 }
 
-auto BatchStore::keep(SubmissionPtr kept)
-    -> asio::awaitable<journal::AppendResult>
+auto BatchStore::keep(SubmissionPtr kept) -> asio::awaitable<journal::AppendResult>
 {
     const auto attempt = base::concat(m_process, "/", ++m_attempts);
-    auto records =
-        version::batch::encodeSubmission(*kept, attempt, m_journal.limits().recordBytes);
+    auto records = version::batch::encodeSubmission(*kept, attempt, m_journal.limits().recordBytes);
     auto stored = co_await storeBulk(kept->head.id, std::move(records));
     if (stored.outcome != AppendOutcome::Done) {
         // Without an index record there is no batch, whatever became of its parts.
         stored.outcome = AppendOutcome::NotDone;
         co_return stored;
     }
-    auto index = std::vector<std::string> { version::batch::encodeAccepted(*kept, stored.offset,
-                                                                           attempt) };
+    auto index =
+        std::vector<std::string> { version::batch::encodeAccepted(*kept, stored.offset, attempt) };
     const auto result = co_await m_journal.appendAlways(partitionFor(PartitionUse::Index),
                                                         std::move(index), APPEND_TIME);
     if (result.outcome == AppendOutcome::Done) {
@@ -176,11 +176,11 @@
         const auto *batch = m_log.find(batchId);
         if (batch == nullptr || position >= batch->listedCount)
             co_return results;
-        const auto after = std::ranges::upper_bound(
-            batch->groups, position, {}, &version::batch::ListedGroup::firstPosition);
+        const auto after = std::ranges::upper_bound(batch->groups, position, {},
+                                                    &version::batch::ListedGroup::firstPosition);
         const auto group = *std::prev(after);
-        const auto present = std::ranges::find(page.records, group.bulkOffset,
-                                               &journal::Record::offset);
+        const auto present =
+            std::ranges::find(page.records, group.bulkOffset, &journal::Record::offset);
         if (present == page.records.end()) {
             if (bytes > 0 && bytes >= mostBytes)
                 co_return results;
@@ -210,20 +210,20 @@
 auto BatchStore::end(std::string batchId) -> asio::awaitable<journal::AppendResult>
 {
     auto records = std::vector<std::string> { version::batch::encodeEnd(batchId) };
-    co_return co_await m_journal.appendAlways(partitionFor(PartitionUse::Index),
-                                              std::move(records), APPEND_TIME);
+    co_return co_await m_journal.appendAlways(partitionFor(PartitionUse::Index), std::move(records),
+                                              APPEND_TIME);
 }
 
 auto BatchStore::look(std::string batchId) -> asio::awaitable<Presence>
 {
     if (m_log.find(batchId) != nullptr)
         co_return Presence::Known;
-    const auto page = co_await m_journal.read(partitionFor(PartitionUse::Index), position(),
-                                              base::Duration(0));
+    const auto page =
+        co_await m_journal.read(partitionFor(PartitionUse::Index), position(), base::Duration(0));
     if (!page.ok() || page->compacted)
         co_return Presence::Unsure;
-    const auto readAll = co_await waitForPosition(
-        page->end, process::clock::now() + std::chrono::milliseconds(300));
+    const auto readAll =
+        co_await waitForPosition(page->end, process::clock::now() + std::chrono::milliseconds(300));
     if (m_log.find(batchId) != nullptr)
         co_return Presence::Known;
     co_return readAll ? Presence::Absent : Presence::Unsure;
--- a/src/app/node/batchstore.h
+++ b/src/app/node/batchstore.h
@@ -45,8 +45,7 @@
     auto forget(std::int64_t submittedBeforeMs) -> void { m_log.forget(submittedBeforeMs); }
 
     //! Puts a batch into the log.
-    auto keep(SubmissionPtr submission)
-        -> boost::asio::awaitable<version::journal::AppendResult>;
+    auto keep(SubmissionPtr submission) -> boost::asio::awaitable<version::journal::AppendResult>;
     //! Puts the end of a batch into the log.
     auto end(std::string batchId) -> boost::asio::awaitable<version::journal::AppendResult>;
     //! The items of a batch.
@@ -79,7 +78,7 @@
     version::batch::BatchLog m_log;
     version::journal::Follower m_follower;
     std::map<std::string, std::vector<Waiter>> m_waiters; //!< By batch.
-    std::deque<SubmissionPtr> m_recent; //!< Read or stored lately, newest first.
+    std::deque<SubmissionPtr> m_recent;                   //!< Read or stored lately, newest first.
     process::metrics::Counter &m_accepted;
     process::metrics::Counter &m_bulkReads;
 };
--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -95,16 +95,16 @@
 
 auto CallService::refuse(const Exchange &exchange, Refusal refusal) const -> Answer
 {
-    logging::info("call.refused",
-                  { { "request", exchange.call.requestId },
-                    { "kind", base::nameOf(request::call::CALL_KIND_NAMES, exchange.call.kind) },
-                    { "path", exchange.call.path },
-                    { "code", base::nameOf(request::call::REFUSAL_CODE_NAMES, refusal.code) },
-                    { "detail", refusal.detail },
-                    { "retry_after_ms", base::toMilliseconds(refusal.retryAfter) },
-                    { "configuration", exchange.table == nullptr ? 0 : exchange.table->version },
-                    { "held_ms", base::toMilliseconds(process::clock::now()
-                                                      - exchange.receivedAt) } });
+    logging::info(
+        "call.refused",
+        { { "request", exchange.call.requestId },
+          { "kind", base::nameOf(request::call::CALL_KIND_NAMES, exchange.call.kind) },
+          { "path", exchange.call.path },
+          { "code", base::nameOf(request::call::REFUSAL_CODE_NAMES, refusal.code) },
+          { "detail", refusal.detail },
+          { "retry_after_ms", base::toMilliseconds(refusal.retryAfter) },
+          { "configuration", exchange.table == nullptr ? 0 : exchange.table->version },
+          { "held_ms", base::toMilliseconds(process::clock::now() - exchange.receivedAt) } });
     return m_parts.protocol.writeRefusal(refusal, exchange.call.requestId);
 }
 
@@ -114,10 +114,11 @@
     const auto took = process::clock::now() - exchange.receivedAt;
     m_seconds.record(took);
     (status < FIRST_ERROR ? m_answered : m_refused).add();
-    logging::debug("call.answered", { { "request", exchange.call.requestId },
-                                      { "status", status },
-                                      { "outcome", outcome },
-                                      { "took_ms", base::toMilliseconds(took) } });
+    logging::debug("call.answered",
+                   { { "request", exchange.call.requestId },
+                     { "status", status },
+                     { "outcome", outcome },
+                     { "took_ms", base::toMilliseconds(took) } });
 }
 
 auto CallService::admit(Exchange &exchange, const version::routing::Route *route) const
@@ -223,8 +224,7 @@
 {
     auto submission = m_parts.protocol.readSubmission(exchange.call, request.body);
     if (!submission.ok())
-        co_return refuse(exchange,
-                         { RefusalCode::Malformed, base::describe(submission.status()) });
+        co_return refuse(exchange, { RefusalCode::Malformed, base::describe(submission.status()) });
     const auto &id = exchange.call.requestId;
     if (m_parts.batches.log().find(id) != nullptr)
         co_return m_parts.protocol.writeAccepted(id);
@@ -280,14 +280,13 @@
 auto CallService::noteKept(const Exchange &exchange,
                            const version::journal::AppendResult &result) const -> void
 {
-    logging::info("batch.submitted",
-                  { { "request", exchange.call.requestId },
-                    { "outcome",
-                      base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) },
-                    { "offset", result.offset },
-                    { "detail", result.detail },
-                    { "held_ms",
-                      base::toMilliseconds(process::clock::now() - exchange.receivedAt) } });
+    logging::info(
+        "batch.submitted",
+        { { "request", exchange.call.requestId },
+          { "outcome", base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) },
+          { "offset", result.offset },
+          { "detail", result.detail },
+          { "held_ms", base::toMilliseconds(process::clock::now() - exchange.receivedAt) } });
 }
 
 auto CallService::batchCall(const Exchange &exchange) -> asio::awaitable<Answer>
@@ -330,13 +329,13 @@
     // there is nothing yet.
     if (batch->listedCount <= call.position && batch->listedCount < total
         && !m_parts.batches.current(process::clock::now()))
-        co_return refuse(exchange, { RefusalCode::Unsure, "the log is not read to its end",
-                                     STORE_RETRY });
+        co_return refuse(exchange,
+                         { RefusalCode::Unsure, "the log is not read to its end", STORE_RETRY });
     auto results = co_await m_parts.batches.loadResults(call.batchId, call.position,
                                                         m_parts.protocol.mostResultBytes());
     if (!results.ok())
-        co_return refuse(exchange, { RefusalCode::Unsure, base::describe(results.status()),
-                                     STORE_RETRY });
+        co_return refuse(exchange,
+                         { RefusalCode::Unsure, base::describe(results.status()), STORE_RETRY });
     co_return m_parts.protocol.writeResults(total, call.position, std::move(*results));
 }
 
@@ -345,8 +344,8 @@
     auto submission = co_await m_parts.batches.loadSubmission(exchange.call.batchId);
     const auto *batch = m_parts.batches.log().find(exchange.call.batchId);
     if (!submission.ok() || batch == nullptr)
-        co_return refuse(exchange, { RefusalCode::Unsure, base::describe(submission.status()),
-                                     STORE_RETRY });
+        co_return refuse(exchange,
+                         { RefusalCode::Unsure, base::describe(submission.status()), STORE_RETRY });
     const auto &items = (*submission)->items;
     const auto found = std::ranges::find(items, exchange.call.itemId, &version::batch::Item::id);
     const auto index = static_cast<std::size_t>(found - items.begin());
@@ -365,10 +364,10 @@
     if (m_parts.batches.log().find(id)->ended)
         co_return http::jsonResponse(STATUS_OK, "{}");
     const auto result = co_await m_parts.batches.end(id);
-    logging::info("batch.end_requested",
-                  { { "batch", id },
-                    { "outcome",
-                      base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) } });
+    logging::info(
+        "batch.end_requested",
+        { { "batch", id },
+          { "outcome", base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) } });
     if (result.outcome == AppendOutcome::Done)
         co_return http::jsonResponse(STATUS_OK, "{}");
     if (result.outcome == AppendOutcome::NotDone)
--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -34,8 +34,8 @@
 constexpr auto LOAD_RETRY = std::chrono::milliseconds(100);
 constexpr auto CATCH_UP_TIME = std::chrono::seconds(3);
 
-//! Machines with less than this of a core leave the lease to larger ones for as long as any of those
-//! claims it: who holds it reads the events of all running items.
+//! Machines with less than this of a core leave the lease to larger ones for as long as any of
+//! those claims it: who holds it reads the events of all running items.
 constexpr auto SMALL_CPU_SHARE = 0.3;
 constexpr auto SMALL_HANDICAP = std::chrono::milliseconds(800);
 
@@ -67,30 +67,28 @@
                         {},
                         {} })
     , m_localMeter(m_parts.process, m_parts.settings.usageWindow)
-    , m_meterFollower(m_parts.context, m_parts.journal,
-                      { partitionFor(PartitionUse::Meter), base::Duration(0), METER_READ },
-                      { [this](const journal::Record &record, base::TimePoint) {
-                           m_meterLog.apply(record);
-                       },
-                        {},
-                        {} })
+    , m_meterFollower(
+          m_parts.context, m_parts.journal,
+          { partitionFor(PartitionUse::Meter), base::Duration(0), METER_READ },
+          { [this](const journal::Record &record, base::TimePoint) { m_meterLog.apply(record); },
+            {},
+            {} })
     , m_results(m_parts.context, m_parts.journal, m_parts.metrics,
                 [this] { deactivate("another process writes results"); })
     , m_executor(executorParts())
     , m_waves(m_parts.context, m_parts.engineControl, waveHooks(), m_parts.metrics)
-    , m_inCharge(m_parts.metrics.gauge("nutmegplank_in_charge",
-                                       "1 while this process holds the lease."))
-    , m_windows(m_parts.metrics.counter("nutmegplank_usage_windows_total",
-                                        "Usage windows reported."))
+    , m_inCharge(
+          m_parts.metrics.gauge("nutmegplank_in_charge", "1 while this process holds the lease."))
+    , m_windows(
+          m_parts.metrics.counter("nutmegplank_usage_windows_total", "Usage windows reported."))
 {
-    m_parts.batches.setHooks({ [this](const Batch &batch) { openBatch(batch); },
-                               [this](const Batch &batch) {
-                                   if (!batch.open())
-                                       m_executor.endBatch(batch.head.id);
-                               },
-                               [this](const Batch &batch) {
-                                   m_executor.endBatch(batch.head.id);
-                               } });
+    m_parts.batches.setHooks(
+        { [this](const Batch &batch) { openBatch(batch); },
+          [this](const Batch &batch) {
+              if (!batch.open())
+                  m_executor.endBatch(batch.head.id);
+          },
+          [this](const Batch &batch) { m_executor.endBatch(batch.head.id); } });
 }
 
 auto Conductor::executorParts() -> request::rollout::ExecutorParts
@@ -129,12 +127,12 @@
     hooks.demand = [this] { return m_executor.demand(); };
     hooks.strategy = [this](const std::string &service) {
         const auto table = m_parts.routing();
-        const auto single = table != nullptr
+        const auto single =
+            table != nullptr
             && std::ranges::any_of(table->routes, [&](const version::routing::Route &route) {
                    return route.singleVersion && route.services.front().service == service;
                });
-        return single ? version::waves::LoadStrategy::Finish
-                      : version::waves::LoadStrategy::Retain;
+        return single ? version::waves::LoadStrategy::Finish : version::waves::LoadStrategy::Retain;
     };
     hooks.onVersion = [this](const version::waves::OrderableEngine &engine,
                              const std::string &model, std::uint64_t version) {
@@ -159,12 +157,12 @@
         const auto *service = table->findService(server.record.service);
         if (service == nullptr || !service->engine.has_value() || !m_parts.servers.usable(server))
             continue;
-        auto engine = version::waves::OrderableEngine { id, server.record.endpoint,
-                                                        server.record.service,
-                                                        server.record.incarnation };
+        auto engine =
+            version::waves::OrderableEngine { id, server.record.endpoint, server.record.service,
+                                              server.record.incarnation };
         for (const auto &[model, version] : server.record.modelVersion)
-            engine.versions[model] = std::max(
-                version, m_parts.engines.version(id, server.record.incarnation, model));
+            engine.versions[model] =
+                std::max(version, m_parts.engines.version(id, server.record.incarnation, model));
         engine.running = m_executor.runningAt(id);
         engine.reachable = !m_parts.health.paused(id, now);
         engines.push_back(std::move(engine));
@@ -202,10 +200,9 @@
     if (m_sendingLease || !m_leaseFollower.caughtUp())
         co_return;
     // Who has not read all batches, or no configuration, would only hold up the others.
-    const auto mayClaim = m_parts.batches.caughtUp() && m_parts.batches.reachable()
-        && m_parts.routing() != nullptr;
-    auto action =
-        m_leadership.next(now, m_leaseFollower.reachability().answeredAt(), mayClaim);
+    const auto mayClaim =
+        m_parts.batches.caughtUp() && m_parts.batches.reachable() && m_parts.routing() != nullptr;
+    auto action = m_leadership.next(now, m_leaseFollower.reachability().answeredAt(), mayClaim);
     if (!action.has_value())
         co_return;
     m_sendingLease = true;
@@ -217,16 +214,16 @@
     auto records = std::vector<std::string> { action.record.SerializeAsString() };
     auto condition = journal::AppendCondition();
     condition.at = action.at;
-    const auto result = co_await m_parts.journal.append(
-        partitionFor(PartitionUse::Lease), std::move(records), condition, APPEND_TIME);
+    const auto result = co_await m_parts.journal.append(partitionFor(PartitionUse::Lease),
+                                                        std::move(records), condition, APPEND_TIME);
     m_sendingLease = false;
     if (result.outcome != journal::AppendOutcome::Done
         && result.outcome != journal::AppendOutcome::Conflict)
-        logging::warning("lease.append_failed",
-                         { { "kind", record::LeaseRecordKind_Name(action.record.kind()) },
-                           { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
-                                                     result.outcome) },
-                           { "detail", result.detail } });
+        logging::warning(
+            "lease.append_failed",
+            { { "kind", record::LeaseRecordKind_Name(action.record.kind()) },
+              { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES, result.outcome) },
+              { "detail", result.detail } });
 }
 
 auto Conductor::followLease() -> void
@@ -281,8 +278,9 @@
             m_executor.addBatch(*batch, *submission);
             co_return;
         }
-        logging::warning("batch.load_failed", { { "batch", batchId },
-                                                { "problem", base::describe(submission.status()) } });
+        logging::warning(
+            "batch.load_failed",
+            { { "batch", batchId }, { "problem", base::describe(submission.status()) } });
         if (submission.status().code() == absl::StatusCode::kDataLoss)
             co_return;
         co_await pauseFor(LOAD_RETRY);
@@ -318,8 +316,8 @@
         auto records = std::vector<std::string>();
         for (const auto &record : changed)
             records.push_back(record.SerializeAsString());
-        const auto result = co_await m_parts.journal.appendAlways(
-            partitionFor(PartitionUse::Meter), std::move(records), APPEND_TIME);
+        const auto result = co_await m_parts.journal.appendAlways(partitionFor(PartitionUse::Meter),
+                                                                  std::move(records), APPEND_TIME);
         if (result.outcome != journal::AppendOutcome::Done)
             m_localMeter.giveBack(changed);
     }
@@ -342,18 +340,19 @@
     const auto trueMs = m_parts.trueTime.milliseconds(process::clock::now());
     const auto current = m_localMeter.windowOf(trueMs);
     const auto newest = m_meterLog.newestClosed();
-    auto next = newest.has_value() ? *newest + 1
-                                   : std::min(current, m_meterLog.oldestCounted().value_or(current));
+    auto next = newest.has_value()
+        ? *newest + 1
+        : std::min(current, m_meterLog.oldestCounted().value_or(current));
     for (; m_localMeter.windowEndMs(next) + base::toMilliseconds(CLOSE_AFTER) <= trueMs; ++next) {
         auto records = std::vector<std::string> { version::metering::encodeClosed(
             { next, m_meterLog.sum(next) }) };
-        const auto result = co_await m_parts.journal.appendAlways(
-            partitionFor(PartitionUse::Meter), std::move(records), APPEND_TIME);
-        logging::info("usage.window_closed",
-                      { { "window", next },
-                        { "fence", fence },
-                        { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
-                                                  result.outcome) } });
+        const auto result = co_await m_parts.journal.appendAlways(partitionFor(PartitionUse::Meter),
+                                                                  std::move(records), APPEND_TIME);
+        logging::info(
+            "usage.window_closed",
+            { { "window", next },
+              { "fence", fence },
+              { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES, result.outcome) } });
         if (result.outcome != journal::AppendOutcome::Done)
             co_return;
     }
@@ -376,12 +375,12 @@
         auto total = std::uint64_t(0);
         for (const auto &[workspace, requests] : closed->counts)
             total += requests;
-        logging::info("usage.reported",
-                      { { "window", window },
-                        { "fence", *fence },
-                        { "requests", total },
-                        { "outcome", base::nameOf(process::capacity::DUTY_OUTCOME_NAMES,
-                                                  outcome) } });
+        logging::info(
+            "usage.reported",
+            { { "window", window },
+              { "fence", *fence },
+              { "requests", total },
+              { "outcome", base::nameOf(process::capacity::DUTY_OUTCOME_NAMES, outcome) } });
         if (outcome == DutyOutcome::Accepted || outcome == DutyOutcome::Rejected) {
             m_reported.insert(window);
             m_windows.add();
@@ -430,13 +429,13 @@
             if (!order.has_value())
                 continue;
             const auto outcome = co_await m_parts.duties.orderServers(*order, *fence);
-            logging::info("capacity.order",
-                          { { "service", name },
-                            { "zone", order->zone },
-                            { "count", order->count },
-                            { "fence", *fence },
-                            { "outcome", base::nameOf(process::capacity::DUTY_OUTCOME_NAMES,
-                                                      outcome) } });
+            logging::info(
+                "capacity.order",
+                { { "service", name },
+                  { "zone", order->zone },
+                  { "count", order->count },
+                  { "fence", *fence },
+                  { "outcome", base::nameOf(process::capacity::DUTY_OUTCOME_NAMES, outcome) } });
             if (outcome == DutyOutcome::Accepted)
                 m_capacity.taken(*order, process::clock::now());
             else
--- a/src/app/node/membership.cpp
+++ b/src/app/node/membership.cpp
@@ -18,6 +18,8 @@
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 //! Members' heartbeats are read this often; a long poll would wake each machine for each other one.
 constexpr auto READ_PAUSE = std::chrono::milliseconds(450);
+//! After its return the log has handed out what it kept from before.
+constexpr auto PROMPT_AFTER = std::chrono::milliseconds(2000);
 constexpr auto APPEND_TIME = std::chrono::milliseconds(800);
 //! A heartbeat read from a snapshot counts as older than this when its time can't be told.
 constexpr auto SNAPSHOT_AGE_LIMIT = std::chrono::seconds(60);
@@ -34,11 +36,10 @@
     , m_trueTime(trueTime)
     , m_suspects(suspects)
     , m_members(m_times)
-    , m_follower(context, store, { { MEMBER_TOPIC, 0 }, base::Duration(0), READ_PAUSE },
-                 { [this](const journal::KeyedRecord &record, base::TimePoint now) {
-                      hear(record, now);
-                  },
-                   [](const std::set<std::string> &, base::TimePoint) {} })
+    , m_follower(
+          context, store, { { MEMBER_TOPIC, 0 }, base::Duration(0), READ_PAUSE },
+          { [this](const journal::KeyedRecord &record, base::TimePoint now) { hear(record, now); },
+            [](const std::set<std::string> &, base::TimePoint) {} })
     , m_timer(context)
 { }
 
@@ -98,14 +99,16 @@
     const auto fresh = m_follower.complete();
     auto age = base::Duration(0);
     if (!fresh) {
-        const auto told = std::chrono::milliseconds(m_trueTime.milliseconds(now)
-                                                    - record.true_ms());
+        const auto told =
+            std::chrono::milliseconds(m_trueTime.milliseconds(now) - record.true_ms());
         age = std::clamp<base::Duration>(told, base::Duration(0), SNAPSHOT_AGE_LIMIT);
     }
     m_members.hear(record, age, now);
     if (record.node() == m_settings.node)
         return;
-    if (fresh)
+    // Heartbeats from before an outage of the log are read after it and look seconds old.
+    const auto prompt = now - m_follower.reachability().regainedAt() > PROMPT_AFTER;
+    if (fresh && prompt)
         m_trueTime.hear(record.node(), record.true_ms(), now);
     for (const auto &suspicion : record.suspicions())
         m_suspects.learn(record.node(), { suspicion.fingerprint(), suspicion.crashes() }, now);
@@ -122,7 +125,8 @@
 {
     auto members = living(now);
     std::erase_if(members, [this](const auto &member) { return member.node == m_settings.node; });
-    // Callers of one zone get the same order, so that a short list spreads over all zones' machines.
+    // Callers of one zone get the same order, so that a short list spreads over all zones'
+    // machines.
     std::ranges::sort(members, {}, [&](const process::members::Member &member) {
         return std::pair(member.zone != zone, base::hash64(base::concat(zone, "/", member.node)));
     });
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -69,15 +69,15 @@
                applyOperatorRecord(record, now);
            },
             [this](const std::set<std::string> &, base::TimePoint) { m_conductor.wake(); } })
-    , m_serverFollower(
-          m_runtime.context(), m_store,
-          { { platform::SERVER_TOPIC, 0 }, base::Duration(0), SERVER_READ_PAUSE },
-          { [this](const journal::KeyedRecord &record, base::TimePoint now) {
-               applyServerRecord(record, now);
-           },
-            [this](const std::set<std::string> &keys, base::TimePoint now) {
-                m_servers.retain(keys, m_serverFollower.reachability().regainedAt(), now);
-            } })
+    , m_serverFollower(m_runtime.context(), m_store,
+                       { { platform::SERVER_TOPIC, 0 }, base::Duration(0), SERVER_READ_PAUSE },
+                       { [this](const journal::KeyedRecord &record, base::TimePoint now) {
+                            applyServerRecord(record, now);
+                        },
+                         [this](const std::set<std::string> &keys, base::TimePoint now) {
+                             m_servers.retain(keys, m_serverFollower.reachability().regainedAt(),
+                                              now);
+                         } })
     , m_batches(m_runtime.context(), m_store, m_incarnation, m_metrics)
     , m_membership(m_runtime.context(), m_store, m_settings, m_incarnation, m_trueTime, m_suspects)
     , m_conductor({ m_runtime.context(), m_store, m_batches, m_servers, m_health, m_engines,
@@ -170,10 +170,11 @@
         if (!listening.ok())
             return listening;
     }
-    logging::info("node.started", { { "incarnation", m_incarnation },
-                                    { "zone", m_settings.zone },
-                                    { "callers", m_settings.callerEndpoint },
-                                    { "store", m_settings.storeEndpoint } });
+    logging::info("node.started",
+                  { { "incarnation", m_incarnation },
+                    { "zone", m_settings.zone },
+                    { "callers", m_settings.callerEndpoint },
+                    { "store", m_settings.storeEndpoint } });
     m_operatorFollower.start();
     m_serverFollower.start();
     m_batches.start();
@@ -208,9 +209,10 @@
         }
         auto &version = m_namedVersions[named->model];
         version = std::max(version, named->version);
-        logging::info("weights.named", { { "model", named->model },
-                                         { "version", named->version },
-                                         { "offset", record.offset } });
+        logging::info("weights.named",
+                      { { "model", named->model },
+                        { "version", named->version },
+                        { "offset", record.offset } });
         m_conductor.wake();
         return;
     }
@@ -223,7 +225,8 @@
 {
     const auto table = platform::readConfiguration(record);
     if (!table.ok()) {
-        logging::error("configuration.malformed", { { "problem", base::describe(table.status()) } });
+        logging::error("configuration.malformed",
+                       { { "problem", base::describe(table.status()) } });
         return;
     }
     const auto current = m_routing.load();
@@ -248,7 +251,8 @@
     const auto changed = out ? m_zonesOut.insert(zone).second : m_zonesOut.erase(zone) > 0;
     if (!changed)
         return;
-    logging::info("zone.changed", { { "zone", zone }, { "out", out }, { "offset", record.offset } });
+    logging::info("zone.changed",
+                  { { "zone", zone }, { "out", out }, { "offset", record.offset } });
     m_servers.setZonesOut(m_zonesOut);
     m_conductor.wake();
 }
@@ -306,8 +310,8 @@
 auto Node::shutDown() -> asio::awaitable<void>
 {
     const auto startedAt = process::clock::now();
-    const auto latest = startedAt
-        + std::chrono::duration_cast<base::Duration>(m_settings.grace * GRACE_SHARE);
+    const auto latest =
+        startedAt + std::chrono::duration_cast<base::Duration>(m_settings.grace * GRACE_SHARE);
     co_await m_conductor.leave();
     auto timer = asio::steady_timer(m_runtime.context());
     while (true) {
@@ -319,9 +323,9 @@
             break;
     }
     m_callerServer->drain();
-    logging::info("node.stopped", { { "exchanges", m_callerServer->activeExchanges() },
-                                    { "after_ms", base::toMilliseconds(process::clock::now()
-                                                                       - startedAt) } });
+    logging::info("node.stopped",
+                  { { "exchanges", m_callerServer->activeExchanges() },
+                    { "after_ms", base::toMilliseconds(process::clock::now() - startedAt) } });
     logging::flush();
     m_runtime.stop();
 }
--- a/src/app/node/partitions.h
+++ b/src/app/node/partitions.h
@@ -13,8 +13,8 @@
 
 enum class PartitionUse : std::uint32_t {
     Index = 0, //!< Batches, what of them is listed, and their ends.
-    Lease = 1,   //!< Who is in charge.
-    Meter = 2,   //!< Usage by windows.
+    Lease = 1, //!< Who is in charge.
+    Meter = 2, //!< Usage by windows.
 };
 
 //! Where the bodies and texts of a batch lie.
--- a/src/app/node/resultwriter.cpp
+++ b/src/app/node/resultwriter.cpp
@@ -20,7 +20,8 @@
 //! Results that finish within this time share an append, which takes 2 ms of the partition.
 constexpr auto GATHER = std::chrono::milliseconds(15);
 constexpr auto RETRY = std::chrono::milliseconds(60);
-constexpr auto APPEND_TIME = std::chrono::milliseconds(1500);
+//! A repeat is harmless, so a silent connection is given up soon.
+constexpr auto APPEND_TIME = std::chrono::milliseconds(800);
 //! Of a record and of a call, below the log's bounds with room for the rest of a record.
 constexpr auto RECORD_TEXT = std::size_t(150'000);
 constexpr auto CALL_TEXT = std::size_t(1'200'000);
@@ -44,11 +45,11 @@
     const auto nothing = std::vector<std::string>();
     const auto result = co_await m_journal.append(partitionFor(PartitionUse::Index), nothing,
                                                   condition, APPEND_TIME);
-    logging::info("results.epoch", { { "fence", fence },
-                                     { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES,
-                                                               result.outcome) },
-                                     { "end", result.end },
-                                     { "detail", result.detail } });
+    logging::info("results.epoch",
+                  { { "fence", fence },
+                    { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES, result.outcome) },
+                    { "end", result.end },
+                    { "detail", result.detail } });
     if (result.outcome != AppendOutcome::Done)
         co_return std::nullopt;
     m_fence = fence;
@@ -116,8 +117,7 @@
         while (m_fence == fence && result.outcome != AppendOutcome::Done) {
             auto records = std::vector<std::string> { version::batch::encodeResults(
                 group.batch, group.results) };
-            const auto partition =
-                bulkPartition(group.batch, m_journal.limits().partitions);
+            const auto partition = bulkPartition(group.batch, m_journal.limits().partitions);
             result = co_await m_journal.appendAlways(partition, std::move(records), APPEND_TIME);
             if (result.outcome == AppendOutcome::Done)
                 break;
--- a/src/base/base64.cpp
+++ b/src/base/base64.cpp
@@ -18,10 +18,9 @@
     if (text.size() % GROUP_TEXT != 0)
         return std::nullopt;
     auto bytes = std::string(text.size() / GROUP_TEXT * GROUP_BYTES, '\0');
-    const auto decoded =
-        EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
-                        reinterpret_cast<const unsigned char *>(text.data()),
-                        static_cast<int>(text.size()));
+    const auto decoded = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                                         reinterpret_cast<const unsigned char *>(text.data()),
+                                         static_cast<int>(text.size()));
     if (decoded < 0)
         return std::nullopt;
     // OpenSSL counts padding as bytes.
@@ -37,10 +36,9 @@
 auto encodeBase64(std::string_view bytes) -> std::string
 {
     auto text = std::string((bytes.size() + GROUP_BYTES - 1) / GROUP_BYTES * GROUP_TEXT + 1, '\0');
-    const auto length =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                        reinterpret_cast<const unsigned char *>(bytes.data()),
-                        static_cast<int>(bytes.size()));
+    const auto length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                        reinterpret_cast<const unsigned char *>(bytes.data()),
+                                        static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(length));
     return text;
 }
--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -118,8 +118,7 @@
 auto HttpConnection<Stream>::quiet() -> bool
 {
     auto byte = char();
-    const auto received =
-        ::recv(tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto received = ::recv(tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/connection/http/internal/httpsession.cpp
+++ b/src/connection/http/internal/httpsession.cpp
@@ -93,8 +93,8 @@
             if (error || !session->m_onGone)
                 return;
             auto byte = char();
-            const auto received = ::recv(session->tcp().socket().native_handle(), &byte, 1,
-                                         MSG_PEEK | MSG_DONTWAIT);
+            const auto received =
+                ::recv(session->tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             // Bytes of a next request: the caller is there, and there is nothing more to watch.
             if (received > 0)
                 return;
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -90,8 +90,8 @@
     if (const auto *headers = objectField(object, "headers")) {
         for (const auto &entry : *headers) {
             if (entry.value().is_string())
-                item.headers.push_back({ std::string(entry.key()),
-                                         std::string(entry.value().get_string()) });
+                item.headers.push_back(
+                    { std::string(entry.key()), std::string(entry.value().get_string()) });
         }
     }
     http::removeHeader(item.headers, wireheaders::REQUEST_ID);
@@ -161,8 +161,7 @@
 }
 
 auto CallProtocol::writeResults(std::size_t total, std::uint64_t position,
-                                std::vector<version::batch::Result> results) const
-    -> http::Response
+                                std::vector<version::batch::Result> results) const -> http::Response
 {
     auto list = json::array();
     for (auto &result : results) {
--- a/src/platform/callprotocol.h
+++ b/src/platform/callprotocol.h
@@ -17,10 +17,8 @@
     auto mostResultBytes() const -> std::size_t override;
     auto writeRefusal(const request::call::Refusal &refusal, const std::string &requestId) const
         -> connection::http::Response override;
-    auto writeAccepted(const std::string &requestId) const
-        -> connection::http::Response override;
-    auto forwardable(connection::http::Request request) const
-        -> connection::http::Request override;
+    auto writeAccepted(const std::string &requestId) const -> connection::http::Response override;
+    auto forwardable(connection::http::Request request) const -> connection::http::Request override;
     auto returnable(connection::http::Response response) const
         -> connection::http::Response override;
 };
--- a/src/platform/nodefile.cpp
+++ b/src/platform/nodefile.cpp
@@ -28,8 +28,7 @@
 auto readSeconds(base::ObjectReader &reader, std::string_view field, base::Duration fallback)
     -> base::Duration
 {
-    const auto seconds =
-        reader.number(field, 0.0, LONGEST_SECONDS, base::toSeconds(fallback));
+    const auto seconds = reader.number(field, 0.0, LONGEST_SECONDS, base::toSeconds(fallback));
     return base::Duration(std::llround(seconds * 1e6));
 }
 
@@ -68,8 +67,8 @@
     keepFirst(problem, listen);
     auto store = reader.object("platform");
     settings.storeEndpoint = readEndpoint(store, "address");
-    settings.appendLimits.recordBytes = static_cast<std::size_t>(
-        store.integer("record_bytes", { 1024, MOST_BYTES }, 262144));
+    settings.appendLimits.recordBytes =
+        static_cast<std::size_t>(store.integer("record_bytes", { 1024, MOST_BYTES }, 262144));
     settings.appendLimits.callBytes =
         static_cast<std::size_t>(store.integer("call_bytes", { 1024, MOST_BYTES }, 2097152));
     settings.appendLimits.partitions =
--- a/src/platform/nodefile.h
+++ b/src/platform/nodefile.h
@@ -10,8 +10,7 @@
 
 //! Reads the settings file that the platform writes for a machine; the error names the file, the
 //! field and what is allowed. Fields that the product does not need are ignored.
-auto readNodeFile(const std::string &path)
-    -> absl::StatusOr<process::settings::MachineSettings>;
+auto readNodeFile(const std::string &path) -> absl::StatusOr<process::settings::MachineSettings>;
 
 //! The path of that file: from the environment, or the platform's usual place.
 auto nodeFilePath() -> std::string;
--- a/src/platform/operatorrecords.cpp
+++ b/src/platform/operatorrecords.cpp
@@ -53,8 +53,8 @@
     route.host = *host;
     route.pathPrefix = *prefix;
     route.name = textField(object, "name").value_or(*prefix);
-    route.kind =
-        base::valueOf(WIRE_KINDS, textField(object, "kind").value_or("")).value_or(RouteKind::Unsafe);
+    route.kind = base::valueOf(WIRE_KINDS, textField(object, "kind").value_or(""))
+                     .value_or(RouteKind::Unsafe);
     route.timeout = milliseconds(object, "timeout_ms", route.timeout);
     route.targetLatency = milliseconds(object, "target_latency_ms", route.targetLatency);
     route.maxAttempts = static_cast<std::uint32_t>(wholeField(object, "max_attempts").value_or(1));
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -15,10 +15,10 @@
 namespace journal = version::journal;
 using journal::AppendOutcome;
 
-constexpr auto CONNECT_TIME = std::chrono::milliseconds(700);
+constexpr auto CONNECT_TIME = std::chrono::milliseconds(350);
 //! The store answers in 4 ms, sixty times slower on a bad day; a connection that says nothing for
 //! this long beyond the wait asked for is silent.
-constexpr auto READ_GRACE = std::chrono::milliseconds(1000);
+constexpr auto READ_GRACE = std::chrono::milliseconds(800);
 constexpr auto USER_TIMEOUT = std::chrono::milliseconds(2500);
 constexpr auto MOST_KILOBYTES = 1024;
 constexpr auto STATUS_OK = 200U;
@@ -132,9 +132,9 @@
     if (condition.at.has_value())
         request.target += base::concat("&at=", *condition.at);
     if (condition.producer.has_value())
-        request.target +=
-            base::concat("&producer=", condition.producer->name, "&epoch=",
-                         condition.producer->epoch, "&sequence=", condition.producer->sequence);
+        request.target += base::concat("&producer=", condition.producer->name,
+                                       "&epoch=", condition.producer->epoch,
+                                       "&sequence=", condition.producer->sequence);
     for (const auto &record : records) {
         putLength(request.body, record.size());
         request.body += record;
@@ -188,8 +188,7 @@
     co_return std::move(*page);
 }
 
-auto StoreClient::newest(std::string topic)
-    -> asio::awaitable<absl::StatusOr<journal::KeyedPage>>
+auto StoreClient::newest(std::string topic) -> asio::awaitable<absl::StatusOr<journal::KeyedPage>>
 {
     auto snapshot = journal::KeyedPage();
     auto after = std::string();
@@ -217,8 +216,7 @@
                 continue;
             auto record = journal::KeyedRecord();
             record.key = textField(*item, "key").value_or("");
-            record.value =
-                base::decodeBase64(textField(*item, "value").value_or("")).value_or("");
+            record.value = base::decodeBase64(textField(*item, "value").value_or("")).value_or("");
             record.offset = wholeField(*item, "offset").value_or(0);
             after = record.key;
             snapshot.records.push_back(std::move(record));
--- a/src/platform/tests/callprotocol_tests.cpp
+++ b/src/platform/tests/callprotocol_tests.cpp
@@ -16,12 +16,9 @@
     auto request = Request();
     request.method = method;
     request.target = target;
-    request.headers = { { "Host", "h.example" },
-                        { "Authorization", "Bearer secret" },
-                        { "X-Request-Id", "r1" },
-                        { "X-Deadline-Ms", "1500" },
-                        { "X-Wait-Ms", "1000" },
-                        { "Connection", "keep-alive" } };
+    request.headers = { { "Host", "h.example" },  { "Authorization", "Bearer secret" },
+                        { "X-Request-Id", "r1" }, { "X-Deadline-Ms", "1500" },
+                        { "X-Wait-Ms", "1000" },  { "Connection", "keep-alive" } };
     return request;
 }
 
@@ -50,7 +47,8 @@
 {
     const auto protocol = CallProtocol();
     const auto call = protocol.readCall(makeRequest("POST", "/p/r1"));
-    const auto batch = protocol.readSubmission(call, R"({"step":7,"model":"m","min_version":6,"group_count":12,
+    const auto batch =
+        protocol.readSubmission(call, R"({"step":7,"model":"m","min_version":6,"group_count":12,
       "items":[{"id":"i1","path":"/p/3/1","headers":{"X-Token-Usage":"540,400","X-Length-Hint":"120"},
                 "body":"q83vEjRWeJA=","tokens":940,"group":"g"}]})");
     ASSERT_TRUE(batch.ok()) << batch.status();
--- a/src/platform/tests/operatorrecords_tests.cpp
+++ b/src/platform/tests/operatorrecords_tests.cpp
@@ -52,9 +52,9 @@
 
 TEST(OperatorRecords, OperatorRecords_UnreadableConfiguration_SaysWhatIsWrong)
 {
-    for (const auto *value : { "{", "[]", R"({"version":1})",
-                               R"({"version":"1","routes":[],"services":[]})",
-                               R"({"version":1,"routes":[{"host":"h"}],"services":[]})" }) {
+    for (const auto *value :
+         { "{", "[]", R"({"version":1})", R"({"version":"1","routes":[],"services":[]})",
+           R"({"version":1,"routes":[{"host":"h"}],"services":[]})" }) {
         const auto table = readConfiguration({ "config", value, 41 });
         EXPECT_FALSE(table.ok()) << value;
         EXPECT_NE(table.status().message().find("offset 41"), absl::string_view::npos);
--- a/src/platform/tests/serverrecords_tests.cpp
+++ b/src/platform/tests/serverrecords_tests.cpp
@@ -8,11 +8,12 @@
 
 TEST(ServerRecords, ServerRecords_Heartbeat_BecomesARecord)
 {
-    const auto record = readServerRecord({ "i-1",
-                                           R"({"service":"s","address":"10.1.2.3:80","zone":"a","slots":16,
+    const auto record =
+        readServerRecord({ "i-1",
+                           R"({"service":"s","address":"10.1.2.3:80","zone":"a","slots":16,
           "state":"draining","cold_remaining_ms":1500,"models":[{"name":"m","version":3}],
           "sequence":9,"born":1700000000123})",
-                                           5 });
+                           5 });
     ASSERT_TRUE(record.ok()) << record.status();
     EXPECT_EQ(record->id, "i-1");
     EXPECT_EQ(record->state, process::servers::ServerState::Draining);
@@ -24,7 +25,8 @@
 TEST(ServerRecords, ServerRecords_OtherWriter_NamesNoServer)
 {
     for (const auto *value :
-         { "\x01\x02", "{}", R"({"service":"s","address":"somewhere","zone":"a","slots":1,"state":"ready"})",
+         { "\x01\x02", "{}",
+           R"({"service":"s","address":"somewhere","zone":"a","slots":1,"state":"ready"})",
            R"({"service":"s","address":"10.1.2.3:80","zone":"a","slots":1,"state":"dozing"})",
            R"({"service":3,"address":"10.1.2.3:80","zone":"a","slots":1,"state":"ready"})",
            R"({"service":"s","address":"10.1.2.3:80","zone":"a","slots":"many","state":"ready"})" })
--- a/src/process/clock/tests/truetime_tests.cpp
+++ b/src/process/clock/tests/truetime_tests.cpp
@@ -43,3 +43,14 @@
         time.hear(peer, WALL_MS - 700, START);
     EXPECT_EQ(time.milliseconds(START), WALL_MS);
 }
+
+TEST(TrueTime, TrueTime_OldWordsOfAllPeersAtOnce_ChangeNothing)
+{
+    // Heartbeats that waited in the log for five seconds, right after prompt ones.
+    auto time = TrueTime(WALL_MS, START);
+    for (const auto *peer : { "b", "c", "d" })
+        time.hear(peer, WALL_MS - 100, START);
+    for (const auto *peer : { "b", "c", "d" })
+        time.hear(peer, WALL_MS - 100, START + 2500ms);
+    EXPECT_EQ(time.milliseconds(START), WALL_MS);
+}
--- a/src/process/clock/truetime.cpp
+++ b/src/process/clock/truetime.cpp
@@ -12,6 +12,9 @@
 constexpr auto TOLERANCE_MS = std::int64_t(900);
 //! A peer that was not heard for this long has no say.
 constexpr auto PEER_MEMORY = std::chrono::seconds(5);
+//! How long the best word of a peer counts before a worse one replaces it: a peer whose own clock
+//! was corrected shows within this.
+constexpr auto BEST_FOR = std::chrono::seconds(3);
 //! Fewer peers than this decide nothing.
 constexpr auto LEAST_PEERS = std::size_t(2);
 
@@ -33,7 +36,13 @@
 
 auto TrueTime::hear(const std::string &peer, std::int64_t peerMs, base::TimePoint now) -> void
 {
-    m_peers[peer] = Heard { peerMs - bootMs(now), now };
+    const auto offset = peerMs - bootMs(now);
+    const auto known = m_peers.find(peer);
+    // What took longest to arrive says least: of a peer's words the one that looks newest counts.
+    const auto better = known == m_peers.end() || offset >= known->second.offset
+        || now - known->second.at > BEST_FOR;
+    if (better)
+        m_peers[peer] = Heard { offset, now };
     correct(now);
 }
 
--- a/src/process/health/serverhealth.cpp
+++ b/src/process/health/serverhealth.cpp
@@ -72,14 +72,15 @@
     if (now < entry.pausedUntil)
         return;
     const auto doublings = std::min(entry.losses, 5U);
-    const auto pause = std::min<base::Duration>(m_times.firstPause * (1 << doublings),
-                                                m_times.longestPause);
+    const auto pause =
+        std::min<base::Duration>(m_times.firstPause * (1 << doublings), m_times.longestPause);
     ++entry.losses;
     entry.pausedUntil = now + pause;
     entry.coldUntil = now + pause + rule.coldStart;
-    logging::warning("server.lost", { { "server", server },
-                                      { "losses", entry.losses },
-                                      { "pause_ms", base::toMilliseconds(pause) } });
+    logging::warning("server.lost",
+                     { { "server", server },
+                       { "losses", entry.losses },
+                       { "pause_ms", base::toMilliseconds(pause) } });
 }
 
 } // namespace nutmegplank::process::health
--- a/src/process/logging/logging.cpp
+++ b/src/process/logging/logging.cpp
@@ -72,8 +72,8 @@
     return instance;
 }
 
-auto install(log4cplus::SharedAppenderPtr appender, std::string_view program,
-             std::string_view node, std::string_view level) -> void
+auto install(log4cplus::SharedAppenderPtr appender, std::string_view program, std::string_view node,
+             std::string_view level) -> void
 {
     appender->setLayout(std::make_unique<JsonLayout>(std::string(program), std::string(node)));
     logger().setAdditivity(false);
--- a/src/process/logging/logging.h
+++ b/src/process/logging/logging.h
@@ -22,8 +22,8 @@
 struct Field
 {
     template <typename Text>
-        requires std::convertible_to<const Text &, std::string_view>
-    Field(std::string_view fieldName, const Text &text)
+    requires std::convertible_to<const Text &, std::string_view> Field(std::string_view fieldName,
+                                                                       const Text &text)
         : name(fieldName)
         , value(boost::json::string(std::string_view(text)))
     { }
--- a/src/process/members/memberlist.cpp
+++ b/src/process/members/memberlist.cpp
@@ -9,11 +9,12 @@
 {
     auto &member = m_members[record.node()];
     if (member.incarnation != record.incarnation() || member.serving != record.serving())
-        logging::info("member.changed", { { "member", record.node() },
-                                          { "incarnation", record.incarnation() },
-                                          { "address", record.address() },
-                                          { "serving", record.serving() },
-                                          { "age_ms", base::toMilliseconds(age) } });
+        logging::info("member.changed",
+                      { { "member", record.node() },
+                        { "incarnation", record.incarnation() },
+                        { "address", record.address() },
+                        { "serving", record.serving() },
+                        { "age_ms", base::toMilliseconds(age) } });
     member.node = record.node();
     member.incarnation = record.incarnation();
     member.address = record.address();
--- a/src/process/servers/servertable.cpp
+++ b/src/process/servers/servertable.cpp
@@ -67,10 +67,11 @@
 auto ServerTable::drop(const std::string &id, std::string_view reason) -> void
 {
     const auto found = m_servers.find(id);
-    logging::info("server.gone", { { "server", id },
-                                   { "service", found->second.record.service },
-                                   { "zone", found->second.record.zone },
-                                   { "reason", reason } });
+    logging::info("server.gone",
+                  { { "server", id },
+                    { "service", found->second.record.service },
+                    { "zone", found->second.record.zone },
+                    { "reason", reason } });
     m_servers.erase(found);
 }
 
--- a/src/process/settings/machinesettings.h
+++ b/src/process/settings/machinesettings.h
@@ -22,10 +22,10 @@
     std::string cloudEndpoint; //!< Takes usage reports and orders of servers; may be empty.
     version::journal::AppendLimits appendLimits;
     base::Duration usageWindow = std::chrono::seconds(5);
-    base::Duration grace = std::chrono::seconds(8); //!< From SIGTERM to SIGKILL.
+    base::Duration grace = std::chrono::seconds(8);  //!< From SIGTERM to SIGKILL.
     base::Duration settle = std::chrono::seconds(1); //!< After a 202 the batch is known everywhere.
     base::Duration resultMemory = std::chrono::seconds(120); //!< Results are kept this long.
-    double cpuShare = 1.0; //!< Of a core.
+    double cpuShare = 1.0;                                   //!< Of a core.
     base::Duration directoryTtl = std::chrono::seconds(5);   //!< Longest that counts.
 };
 
--- a/src/request/call/call.h
+++ b/src/request/call/call.h
@@ -31,8 +31,8 @@
     CallKind kind = CallKind::Request;
     std::string requestId;
     std::string host;
-    std::string path; //!< Without the query.
-    std::string key;  //!< As presented; never logged.
+    std::string path;              //!< Without the query.
+    std::string key;               //!< As presented; never logged.
     base::Duration timeLeft { 0 }; //!< How long the caller waits; 0 when it does not say.
     std::string batchId;
     std::string itemId;
@@ -42,17 +42,17 @@
 
 //! Why a call was refused. Each code has one status and says whether anything has run.
 enum class RefusalCode {
-    NotReady,       //!< No configuration is known yet.
+    NotReady, //!< No configuration is known yet.
     NoRoute,
     UnknownKey,
     Malformed,
-    NoServer,       //!< No server may get it now.
-    StoreAway,      //!< Nothing can be kept now.
-    Unsure,         //!< This machine cannot tell whether the batch exists.
+    NoServer,  //!< No server may get it now.
+    StoreAway, //!< Nothing can be kept now.
+    Unsure,    //!< This machine cannot tell whether the batch exists.
     NoBatch,
-    Unknown,        //!< It may have run, or may have been kept.
+    Unknown, //!< It may have run, or may have been kept.
     Expired,
-    Condemned,      //!< Backend servers crash under it.
+    Condemned, //!< Backend servers crash under it.
 };
 
 constexpr auto REFUSAL_CODE_NAMES = base::EnumTable<RefusalCode, 11> { {
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -136,8 +136,8 @@
     -> asio::awaitable<ForwardResult>
 {
     auto result = ForwardResult();
-    const auto fingerprint = Suspects::fingerprintOf(call.workspace, call.request.target,
-                                                     call.request.body);
+    const auto fingerprint =
+        Suspects::fingerprintOf(call.workspace, call.request.target, call.request.body);
     if (m_parts.suspects.condemned(fingerprint, m_parts.now())) {
         result.end = ForwardEnd::Condemned;
         co_return result;
@@ -164,8 +164,8 @@
             progress.full.clear();
             continue;
         }
-        auto attempted = co_await attempt(call, *server, attemptDeadline(call, progress), *handle,
-                                          sink);
+        auto attempted =
+            co_await attempt(call, *server, attemptDeadline(call, progress), *handle, sink);
         noteAttempt(call, *server, attempted, now, progress);
         result.server = server->record.id;
         result.attempts = progress.sent;
@@ -206,19 +206,19 @@
     const auto now = m_parts.now();
     const auto latency = now - startedAt;
     if (attempt.end != AttemptEnd::Answered)
-        logging::info("request.attempt_ended", { { "request", call.requestId },
-                                                 { "server", id },
-                                                 { "end", static_cast<int>(attempt.end) },
-                                                 { "detail", attempt.detail },
-                                                 { "took_ms", base::toMilliseconds(latency) },
-                                                 { "record_age_ms", base::toMilliseconds(
-                                                                        now - server.heardAt) } });
+        logging::info("request.attempt_ended",
+                      { { "request", call.requestId },
+                        { "server", id },
+                        { "end", static_cast<int>(attempt.end) },
+                        { "detail", attempt.detail },
+                        { "took_ms", base::toMilliseconds(latency) },
+                        { "record_age_ms", base::toMilliseconds(now - server.heardAt) } });
     switch (attempt.end) {
     case AttemptEnd::Answered: {
         m_parts.health.noteAnswer(id);
         auto &smoothed = m_latency[id];
-        smoothed = smoothed.count() == 0 ? latency
-                                         : smoothed + (latency - smoothed) / LATENCY_SMOOTHING;
+        smoothed =
+            smoothed.count() == 0 ? latency : smoothed + (latency - smoothed) / LATENCY_SMOOTHING;
         m_attemptSeconds.record(latency);
         break;
     }
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -23,7 +23,8 @@
 //! One request of a caller, as it is to be run.
 struct ForwardCall
 {
-    connection::http::Request request; //!< Without the caller's key and what concerns its connection.
+    connection::http::Request
+        request; //!< Without the caller's key and what concerns its connection.
     std::string requestId;
     std::string workspace;
     version::routing::Route route;
@@ -32,11 +33,11 @@
 };
 
 enum class ForwardEnd {
-    Answered,   //!< The server's own answer.
-    NotRun,     //!< No server has run it, and none will.
-    Unknown,    //!< It may have run; the answer is lost.
-    Expired,    //!< Its time is up; it may have run.
-    Condemned,  //!< It crashes whatever runs it; not run this time.
+    Answered,  //!< The server's own answer.
+    NotRun,    //!< No server has run it, and none will.
+    Unknown,   //!< It may have run; the answer is lost.
+    Expired,   //!< Its time is up; it may have run.
+    Condemned, //!< It crashes whatever runs it; not run this time.
     CallerGone,
 };
 
@@ -158,8 +159,8 @@
                      const Attempt &attempt, base::TimePoint startedAt, Progress &progress) -> void;
 
     ForwarderParts m_parts;
-    std::unordered_map<std::string, std::uint32_t> m_outstanding;    //!< By server.
-    std::unordered_map<std::string, base::Duration> m_latency;       //!< By server, smoothed.
+    std::unordered_map<std::string, std::uint32_t> m_outstanding; //!< By server.
+    std::unordered_map<std::string, base::Duration> m_latency;    //!< By server, smoothed.
     std::uint64_t m_draws = 0;
     process::metrics::Counter &m_attempts;
     process::metrics::Distribution &m_attemptSeconds;
--- a/src/request/forward/serverpicker.h
+++ b/src/request/forward/serverpicker.h
@@ -12,13 +12,13 @@
 struct ServerCandidate
 {
     std::string id;
-    std::uint32_t outstanding = 0;  //!< Of this process.
-    std::uint32_t limit = 1;        //!< Most outstanding of this process.
-    std::uint32_t startsLeft = 0;   //!< That it may get now.
-    base::Duration latency { 0 };   //!< Smoothed; 0 when not known.
+    std::uint32_t outstanding = 0; //!< Of this process.
+    std::uint32_t limit = 1;       //!< Most outstanding of this process.
+    std::uint32_t startsLeft = 0;  //!< That it may get now.
+    base::Duration latency { 0 };  //!< Smoothed; 0 when not known.
     bool sameZone = false;
-    bool preferred = false;         //!< This process keeps its connections to it.
-    bool tried = false;             //!< By an earlier attempt of the same request.
+    bool preferred = false; //!< This process keeps its connections to it.
+    bool tried = false;     //!< By an earlier attempt of the same request.
 };
 
 //! Answers the pattern of a few short requests a second from many machines to few servers: each
--- a/src/request/rollout/enginestate.h
+++ b/src/request/rollout/enginestate.h
@@ -8,8 +8,8 @@
 namespace nutmegplank::request::rollout {
 
 //! What this process has learnt of the engines beyond what they say in the store: weight versions
-//! shown in answers and reports, the pace of their tokens, and loads of weights under way. Shared by
-//! who runs items and who orders weights.
+//! shown in answers and reports, the pace of their tokens, and loads of weights under way. Shared
+//! by who runs items and who orders weights.
 class EngineStates
 {
 public:
--- a/src/request/rollout/eventreader.h
+++ b/src/request/rollout/eventreader.h
@@ -36,7 +36,7 @@
     std::string m_versionField;
     std::string m_rest; //!< Bytes of a line that has not ended.
     Event m_event;
-    bool m_open = false;    //!< A field of m_event has been read.
+    bool m_open = false; //!< A field of m_event has been read.
     bool m_hasId = false;
     bool m_hasData = false;
 };
--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -23,7 +23,8 @@
 } // namespace
 
 ItemRun::ItemRun(http::Request request, std::string requestId,
-                 std::shared_ptr<Transcript> transcript, const serverprotocol::IServerProtocol &protocol)
+                 std::shared_ptr<Transcript> transcript,
+                 const serverprotocol::IServerProtocol &protocol)
     : m_request(std::move(request))
     , m_requestId(std::move(requestId))
     , m_transcript(std::move(transcript))
--- a/src/request/rollout/itemrun.h
+++ b/src/request/rollout/itemrun.h
@@ -22,7 +22,7 @@
     Impossible,  //!< The engine says that the item can never be done.
     Broken,      //!< The answer broke off; its text so far is good.
     Malformed,   //!< The answer contradicts itself.
-    Outdated,    //!< The engine's weights are older than allowed, or changed where one is asked for.
+    Outdated, //!< The engine's weights are older than allowed, or changed where one is asked for.
     Cancelled,
 };
 
@@ -53,7 +53,8 @@
 public:
     //! \a requestId is the id that the engine's answer must carry.
     ItemRun(connection::http::Request request, std::string requestId,
-            std::shared_ptr<Transcript> transcript, const serverprotocol::IServerProtocol &protocol);
+            std::shared_ptr<Transcript> transcript,
+            const serverprotocol::IServerProtocol &protocol);
 
     auto run(std::shared_ptr<connection::backend::BackendPool> pool)
         -> boost::asio::awaitable<RunOutcome>;
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -16,8 +16,8 @@
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 constexpr auto TICK = std::chrono::milliseconds(60);
-//! An engine that sends nothing for this long is taken for lost; its events come every 30 to 200 ms,
-//! the longest of them under a load of four times the usual.
+//! An engine that sends nothing for this long is taken for lost; its events come every 30 to 200
+//! ms, the longest of them under a load of four times the usual.
 constexpr auto SILENCE = std::chrono::milliseconds(1300);
 //! The same while it loads weights, during which nothing comes; a load takes 0.9 s and more.
 constexpr auto SILENCE_WHILE_LOADING = std::chrono::milliseconds(3500);
@@ -33,8 +33,8 @@
 constexpr auto LEAST_RUN = std::chrono::milliseconds(250);
 //! Events between two measurements of an engine's pace.
 constexpr auto PACE_EVENTS = 3U;
-//! First pause of an item whose engine was lost; four times longer with each further loss, since the
-//! item itself may be the cause.
+//! First pause of an item whose engine was lost; four times longer with each further loss, since
+//! the item itself may be the cause.
 constexpr auto LOSS_PAUSE = std::chrono::milliseconds(20);
 constexpr auto LONGEST_LOSS_PAUSE = std::chrono::seconds(4);
 constexpr auto REFUSED_PAUSE = std::chrono::milliseconds(40);
@@ -126,7 +126,8 @@
 {
     const auto &submission = *batch.submission;
     const auto &path = submission.items[index].path;
-    return m_table->findRoute(submission.head.host, std::string_view(path).substr(0, path.find('?')));
+    return m_table->findRoute(submission.head.host,
+                              std::string_view(path).substr(0, path.find('?')));
 }
 
 auto RolloutExecutor::addBatch(const Batch &batch, SubmissionPtr items) -> void
@@ -135,8 +136,7 @@
     if (!m_active || !batch.open() || m_batches.contains(head.id))
         return;
     const auto table = m_parts.routing();
-    const auto *route = table == nullptr ? nullptr
-                                         : table->findRoute(head.host, head.path);
+    const auto *route = table == nullptr ? nullptr : table->findRoute(head.host, head.path);
     const auto fallback = version::routing::Route();
     const auto &rules = route == nullptr ? fallback : *route;
     auto work = BatchWork();
@@ -147,8 +147,8 @@
     work.giveUpAtMs = head.submittedMs + base::toMilliseconds(rules.retention);
     for (auto index = std::size_t(0); index < batch.itemCount(); ++index) {
         auto &item = work.items.emplace_back();
-        item.transcript = std::make_shared<Transcript>(
-            TranscriptRules { head.minVersion, rules.singleVersion });
+        item.transcript =
+            std::make_shared<Transcript>(TranscriptRules { head.minVersion, rules.singleVersion });
         if (batch.listed[index])
             item.state = ItemState::Done;
     }
@@ -222,7 +222,8 @@
 {
     const auto &item = batch.submission->items[index];
     const auto &work = batch.items[index];
-    const auto *service = m_table == nullptr ? nullptr : [&]() -> const version::routing::Service * {
+    const auto *service =
+        m_table == nullptr ? nullptr : [&]() -> const version::routing::Service * {
         const auto *route = routeOf(batch, index);
         return route == nullptr ? nullptr : m_table->findService(route->services.front().service);
     }();
@@ -372,8 +373,8 @@
             load.startsLeft = m_parts.health.startsLeft(id, server.coldUntil,
                                                         coldRule(server.record.service), now);
         for (const auto &[model, version] : server.record.modelVersion)
-            load.modelVersion[model] = std::max(
-                version, m_parts.engines.version(id, server.record.incarnation, model));
+            load.modelVersion[model] =
+                std::max(version, m_parts.engines.version(id, server.record.incarnation, model));
         engines.push_back(std::move(load));
     }
     return engines;
@@ -394,8 +395,8 @@
                 continue;
             for (auto &engine : engines) {
                 if (engine.id == item.engine)
-                    engine.reservedTokens += batch.submission->items[index].promptTokens
-                        + expectedOutput(batch, index);
+                    engine.reservedTokens +=
+                        batch.submission->items[index].promptTokens + expectedOutput(batch, index);
             }
         }
     }
@@ -435,8 +436,8 @@
     if (route->singleVersion)
         envelope.weightVersion = engine.modelVersion.at(submission.head.model);
     m_parts.protocol.seal(request, envelope);
-    item.run = std::make_shared<ItemRun>(std::move(request), source.id, item.transcript,
-                                         m_parts.protocol);
+    item.run =
+        std::make_shared<ItemRun>(std::move(request), source.id, item.transcript, m_parts.protocol);
     item.state = ItemState::Running;
     item.engine = engine.id;
     item.seenEvents = 0;
@@ -463,8 +464,8 @@
     wake();
 }
 
-auto RolloutExecutor::finishRun(const ItemKey &key, const Server &server,
-                                const RunOutcome &outcome) -> void
+auto RolloutExecutor::finishRun(const ItemKey &key, const Server &server, const RunOutcome &outcome)
+    -> void
 {
     auto &batch = m_batches.at(key.batch);
     auto &item = batch.items[key.item];
@@ -473,16 +474,16 @@
                                     batch.submission->head.model, *outcome.weightVersion);
     noteServer(server, item, outcome);
     if (outcome.end != RunEnd::Completed)
-        logging::info("rollout.run_ended",
-                      { { "batch", key.batch },
-                        { "item", batch.submission->items[key.item].id },
-                        { "server", server.record.id },
-                        { "end", base::nameOf(RUN_END_NAMES, outcome.end) },
-                        { "status", outcome.status },
-                        { "detail", outcome.detail },
-                        { "events", item.transcript->eventCount() },
-                        { "ran_ms",
-                          base::toMilliseconds(m_parts.now() - item.run->startedAt()) } });
+        logging::info(
+            "rollout.run_ended",
+            { { "batch", key.batch },
+              { "item", batch.submission->items[key.item].id },
+              { "server", server.record.id },
+              { "end", base::nameOf(RUN_END_NAMES, outcome.end) },
+              { "status", outcome.status },
+              { "detail", outcome.detail },
+              { "events", item.transcript->eventCount() },
+              { "ran_ms", base::toMilliseconds(m_parts.now() - item.run->startedAt()) } });
     item.run.reset();
     item.state = ItemState::Waiting;
     settle(batch, key.item, outcome);
@@ -544,9 +545,10 @@
         return;
     case RunEnd::Broken:
         item.avoid = item.engine;
-        item.notBefore =
-            now + std::min<base::Duration>(LOSS_PAUSE * (1 << (2 * std::min(item.losses, MAX_LOSS_SHIFTS))),
-                                           LONGEST_LOSS_PAUSE);
+        item.notBefore = now
+            + std::min<base::Duration>(LOSS_PAUSE
+                                           * (1 << (2 * std::min(item.losses, MAX_LOSS_SHIFTS))),
+                                       LONGEST_LOSS_PAUSE);
         ++item.losses;
         return;
     case RunEnd::Malformed:
--- a/src/request/rollout/tests/rolloutplacement_tests.cpp
+++ b/src/request/rollout/tests/rolloutplacement_tests.cpp
@@ -43,8 +43,8 @@
 
 TEST(RolloutPlacement, RolloutPlacement_StepOfManyItems_SpreadsOverAllEngines)
 {
-    auto engines = std::vector<EngineLoad> { makeEngine("a", 16), makeEngine("b", 16),
-                                             makeEngine("c", 16) };
+    auto engines =
+        std::vector<EngineLoad> { makeEngine("a", 16), makeEngine("b", 16), makeEngine("c", 16) };
     auto items = std::vector<WaitingItem>();
     for (auto index = std::size_t(0); index < 30; ++index)
         items.push_back(makeItem(index, 200));
--- a/src/version/batch/batch.h
+++ b/src/version/batch/batch.h
@@ -18,7 +18,7 @@
     std::string path;
     connection::http::Headers headers;
     std::string body;
-    std::uint64_t tokens = 0;         //!< Prompt and the most output together.
+    std::uint64_t tokens = 0; //!< Prompt and the most output together.
     std::uint64_t promptTokens = 0;
     std::uint64_t expectedOutput = 0; //!< Tokens; its caller's estimate, often far off.
     std::string group;                //!< Items of a group share their prompt and count together.
--- a/src/version/journal/follower.cpp
+++ b/src/version/journal/follower.cpp
@@ -40,8 +40,9 @@
 auto Follower::run() -> asio::awaitable<void>
 {
     while (true) {
-        const auto page =
-            co_await m_journal.read(m_options.partition, m_position, m_options.wait);
+        // While the log is away a read that does not wait shows its return at once.
+        const auto wait = m_reachability.reachable() ? m_options.wait : base::Duration(0);
+        const auto page = co_await m_journal.read(m_options.partition, m_position, wait);
         const auto now = process::clock::now();
         if (!page.ok()) {
             m_reachability.noteSilence(page.status(), now);
@@ -127,7 +128,8 @@
 //! True when history is gone and a snapshot is needed.
 auto KeyedFollower::readNext() -> asio::awaitable<bool>
 {
-    const auto page = co_await m_journal.read(m_options.partition, m_position, m_options.wait);
+    const auto wait = m_reachability.reachable() ? m_options.wait : base::Duration(0);
+    const auto page = co_await m_journal.read(m_options.partition, m_position, wait);
     const auto now = process::clock::now();
     if (!page.ok()) {
         m_reachability.noteSilence(page.status(), now);
@@ -142,9 +144,9 @@
         if (keyed.has_value())
             m_hooks.onRecord(*keyed, now);
         else
-            logging::warning("journal.malformed",
-                             { { "topic", m_options.partition.topic },
-                               { "offset", record.offset } });
+            logging::warning(
+                "journal.malformed",
+                { { "topic", m_options.partition.topic }, { "offset", record.offset } });
     }
     if (m_position >= page->end && m_options.pause.count() > 0)
         co_await pauseFor(m_options.pause);
--- a/src/version/journal/ijournal.h
+++ b/src/version/journal/ijournal.h
@@ -112,8 +112,8 @@
                         AppendCondition condition, base::Duration timeout)
         -> boost::asio::awaitable<AppendResult> = 0;
     //! The same without a condition.
-    auto appendAlways(Partition partition, std::vector<std::string> records,
-                      base::Duration timeout) -> boost::asio::awaitable<AppendResult>
+    auto appendAlways(Partition partition, std::vector<std::string> records, base::Duration timeout)
+        -> boost::asio::awaitable<AppendResult>
     {
         return append(std::move(partition), std::move(records), AppendCondition(), timeout);
     }
--- a/src/version/journal/reachability.cpp
+++ b/src/version/journal/reachability.cpp
@@ -37,9 +37,8 @@
                                     { "answered_ago_ms", base::toMilliseconds(now - m_answeredAt) },
                                     { "problem", base::describe(status) } });
     m_reachable = false;
-    m_backOff = m_backOff.count() == 0
-                    ? base::Duration(FIRST_BACK_OFF)
-                    : std::min<base::Duration>(m_backOff * 2, LONGEST_BACK_OFF);
+    m_backOff = m_backOff.count() == 0 ? base::Duration(FIRST_BACK_OFF)
+                                       : std::min<base::Duration>(m_backOff * 2, LONGEST_BACK_OFF);
 }
 
 } // namespace nutmegplank::version::journal
--- a/src/version/leadership/leadership.cpp
+++ b/src/version/leadership/leadership.cpp
@@ -21,9 +21,10 @@
         return;
     }
     if (message.kind() == record::LEASE_CLAIM) {
-        logging::info("lease.claimed", { { "holder", message.holder() },
-                                         { "fence", record.offset + 1 },
-                                         { "former", m_current } });
+        logging::info("lease.claimed",
+                      { { "holder", message.holder() },
+                        { "fence", record.offset + 1 },
+                        { "former", m_current } });
         m_current = message.holder();
         m_currentFence = record.offset + 1;
         m_validUntil = {};
--- a/src/version/leadership/leadership.h
+++ b/src/version/leadership/leadership.h
@@ -35,8 +35,8 @@
 };
 
 //! The lease by replay of its records; does no I/O. A claim is valid if it stands where its writer
-//! saw the log end, and its offset plus one is the fencing number. A holder counts its term from before it
-//! sent a renewal and only once it has read that renewal back.
+//! saw the log end, and its offset plus one is the fencing number. A holder counts its term from
+//! before it sent a renewal and only once it has read that renewal back.
 class Leadership
 {
 public:
--- a/src/version/routing/routingtable.h
+++ b/src/version/routing/routingtable.h
@@ -48,8 +48,8 @@
     std::uint32_t priority = 5;
     bool open = false; //!< Needs no key.
     bool resumable = false;
-    bool singleVersion = false;                              //!< Rollouts: one weight version a sample.
-    base::Duration retention = std::chrono::seconds(40);     //!< Rollouts: items are kept this long.
+    bool singleVersion = false;                          //!< Rollouts: one weight version a sample.
+    base::Duration retention = std::chrono::seconds(40); //!< Rollouts: items are kept this long.
     base::Duration resultDeadline = std::chrono::seconds(8); //!< Rollouts: when results are due.
 };
 
--- a/src/version/waves/waveplanner.cpp
+++ b/src/version/waves/waveplanner.cpp
@@ -60,9 +60,8 @@
         return;
     std::erase_if(m_models, [&](const auto &entry) {
         return !models.contains(entry.second)
-            || std::ranges::none_of(input.engines, [&](const WaveEngine &engine) {
-                   return engine.id == entry.first;
-               });
+            || std::ranges::none_of(
+                input.engines, [&](const WaveEngine &engine) { return engine.id == entry.first; });
     });
     auto total = 0.0;
     for (const auto &model : models)
@@ -78,9 +77,8 @@
     for (const auto &[engine, model] : m_models)
         ++have[model];
     const auto neediest = [&] {
-        return std::ranges::max_element(models, {}, [&](const std::string &model) {
-            return share[model] - have[model];
-        });
+        return std::ranges::max_element(
+            models, {}, [&](const std::string &model) { return share[model] - have[model]; });
     };
     for (const auto &engine : input.engines) {
         if (m_models.contains(engine.id))
@@ -111,8 +109,8 @@
 {
     updateDemand(input);
     assign(input);
-    auto loading = static_cast<std::size_t>(
-        std::ranges::count_if(input.engines, [](const WaveEngine &engine) { return engine.loading; }));
+    auto loading = static_cast<std::size_t>(std::ranges::count_if(
+        input.engines, [](const WaveEngine &engine) { return engine.loading; }));
     struct Candidate
     {
         const WaveEngine *engine;
--- a/src/version/waves/waveplanner.h
+++ b/src/version/waves/waveplanner.h
@@ -21,10 +21,10 @@
 
 struct WaveInput
 {
-    std::vector<WaveEngine> engines;               //!< Of one service.
-    std::map<std::string, std::uint64_t> named;    //!< Newest version by model.
-    std::map<std::string, std::uint64_t> needed;   //!< Oldest version that open work may use.
-    std::map<std::string, double> demand;          //!< Open work by model, in tokens.
+    std::vector<WaveEngine> engines;             //!< Of one service.
+    std::map<std::string, std::uint64_t> named;  //!< Newest version by model.
+    std::map<std::string, std::uint64_t> needed; //!< Oldest version that open work may use.
+    std::map<std::string, double> demand;        //!< Open work by model, in tokens.
     base::TimePoint now {};
 };
 
--- a/src/version/waves/waverunner.cpp
+++ b/src/version/waves/waverunner.cpp
@@ -26,13 +26,14 @@
 
 auto logOrder(const WeightOrder &order, OrderOutcome outcome) -> void
 {
-    logging::info("weights.order", { { "server", order.engine },
-                                     { "model", order.model },
-                                     { "version", order.version },
-                                     { "strategy", base::nameOf(LOAD_STRATEGY_NAMES, order.strategy) },
-                                     { "fence", order.fence },
-                                     { "expected", order.expectedSequence.value_or(0) },
-                                     { "outcome", base::nameOf(ORDER_OUTCOME_NAMES, outcome) } });
+    logging::info("weights.order",
+                  { { "server", order.engine },
+                    { "model", order.model },
+                    { "version", order.version },
+                    { "strategy", base::nameOf(LOAD_STRATEGY_NAMES, order.strategy) },
+                    { "fence", order.fence },
+                    { "expected", order.expectedSequence.value_or(0) },
+                    { "outcome", base::nameOf(ORDER_OUTCOME_NAMES, outcome) } });
 }
 
 } // namespace
@@ -112,9 +113,9 @@
     const auto found = m_open.find(engine);
     if (found == m_open.end())
         return;
-    logging::debug("weights.order_closed", { { "server", engine },
-                                             { "version", found->second.order.version },
-                                             { "reason", reason } });
+    logging::debug(
+        "weights.order_closed",
+        { { "server", engine }, { "version", found->second.order.version }, { "reason", reason } });
     m_open.erase(found);
     m_hooks.onLoading(engine, false);
     if (pause.count() > 0)
@@ -145,11 +146,12 @@
         for (const auto &[model, version] : input.named)
             input.needed[model] = m_hooks.needed(model);
         for (const auto &wanted : m_planners[service].decide(input)) {
-            const auto engine = std::ranges::find_if(engines, [&](const OrderableEngine &candidate) {
-                return candidate.id == wanted.engine;
-            });
-            auto order = WeightOrder { wanted.engine, engine->endpoint, wanted.model,
-                                       wanted.version };
+            const auto engine =
+                std::ranges::find_if(engines, [&](const OrderableEngine &candidate) {
+                    return candidate.id == wanted.engine;
+                });
+            auto order =
+                WeightOrder { wanted.engine, engine->endpoint, wanted.model, wanted.version };
             order.strategy = m_hooks.strategy(service);
             order.fence = fence;
             order.expectedSequence = m_accepted.at(engine->id).count;
@@ -203,8 +205,9 @@
     m_learning.erase(engine.id);
     if (!report.ok()) {
         m_notBefore[engine.id] = m_hooks.now() + RETRY_PAUSE;
-        logging::warning("weights.report_failed",
-                         { { "server", engine.id }, { "problem", base::describe(report.status()) } });
+        logging::warning(
+            "weights.report_failed",
+            { { "server", engine.id }, { "problem", base::describe(report.status()) } });
         co_return;
     }
     m_accepted[engine.id] = { engine.incarnation, report->sequence };
@@ -222,8 +225,9 @@
     found->second.asking = false;
     found->second.nextCheck = now + NEXT_CHECK;
     if (!report.ok()) {
-        logging::warning("weights.report_failed",
-                         { { "server", engine.id }, { "problem", base::describe(report.status()) } });
+        logging::warning(
+            "weights.report_failed",
+            { { "server", engine.id }, { "problem", base::describe(report.status()) } });
         if (now - found->second.sentAt > UNANSWERED + DROPPED)
             close(engine.id, "unreachable", RETRY_PAUSE);
         co_return;
