--- /dev/null
+++ b/tests/integration/test_platform.py
@@ -0,0 +1,269 @@
+"""Real processes on the platform's protocol: batches, keys, weights, usage, under loss of everything that can be lost."""
+
+import json
+import signal
+import subprocess
+import threading
+import time
+import unittest
+
+from platformworld.world import BIN, HOST, KEY, World, eventually
+
+#: Bounds of the users' pages, in seconds.
+CONFIGURATION_BOUND = 2.0
+DRAIN_BOUND = 2.0
+LEASE_TERM = 1.5
+
+
+class Platform(unittest.TestCase):
+    def setUp(self):
+        self.world = World(**self.options())
+        self.addCleanup(self.finish)
+
+    def options(self):
+        return {"nodes": 1} if self._testMethodName == "test_settings_that_are_wrong_end_the_start" else {}
+
+    def finish(self):
+        failed = any(error for _, error in getattr(self._outcome, "errors", []) if error)
+        result = getattr(self._outcome, "result", None)
+        if failed or (result and (result.failures or result.errors)):
+            for node in self.world.nodes:
+                print(f"--- {node.name}\n" + "\n".join(node.log.read_text().splitlines()[-25:]))
+        self.world.close()
+
+    def check_results(self, results, items):
+        self.assertEqual(sorted(result["id"] for result in results), sorted(f"item{n}" for n in range(items)))
+        for result in results:
+            self.assertEqual(result["state"], "completed")
+            lines = result["text"].split("\n")
+            self.assertEqual([line.rsplit("/", 1)[0] for line in lines],
+                             [f"{result['id']}/{number}" for number in range(1, 7)])
+            made_by = sorted({int(line.rsplit("/v", 1)[1]) for line in lines})
+            self.assertEqual(sorted(result["versions"]), made_by)
+
+    def test_batch_is_served_whole_at_every_machine(self):
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 20), 202)
+        self.assertEqual(self.world.submit(self.world.nodes[1], "b1", 20), 202)
+        first = self.world.wait_results(self.world.nodes[1], "b1", 20)
+        self.check_results(first, 20)
+        for node in self.world.nodes:
+            self.assertEqual(self.world.wait_results(node, "b1", 20), first)
+        runs = [run["id"] for engine in self.world.engines for run in engine.requests]
+        self.assertEqual(len(runs), 20)
+        for engine in self.world.engines:
+            for run in engine.requests:
+                self.assertNotIn("authorization", run["headers"])
+                self.assertEqual(run["headers"]["x-tenant"], "amend")
+
+    def test_unknown_batch_foreign_key_and_bodies(self):
+        for engine in self.world.engines:
+            engine.pace = 1.0
+        node = self.world.nodes[0]
+        self.assertEqual(node.call("GET", "/v1/lots/nothing?after=0")[0], 404)
+        self.assertEqual(self.world.submit(node, "b1", 3), 202)
+        status, body, _ = self.world.nodes[1].call("GET", "/v1/items/b1?id=item2")
+        self.assertEqual((status, body), (200, b"prompt2"))
+        self.assertEqual(node.call("GET", "/v1/lots/b1?after=0", key="stranger")[0], 401)
+        self.assertEqual(node.call("DELETE", "/v1/lots/b1")[0], 200)
+        self.assertEqual(node.call("DELETE", "/v1/lots/b1")[0], 200)
+        eventually(lambda: sum(engine.running for engine in self.world.engines) == 0, 3, "ended runs are dropped")
+        self.assertEqual(self.world.nodes[2].call("GET", "/v1/items/b1?id=item2")[0], 404)
+
+    def test_accepted_batch_survives_the_loss_of_all_machines(self):
+        for engine in self.world.engines:
+            engine.pace = 0.2
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 12), 202)
+        for node in self.world.nodes:
+            node.kill()
+        for node in self.world.nodes:
+            node.start()
+        self.check_results(self.world.wait_results(self.world.nodes[2], "b1", 12, 25), 12)
+
+    def test_holder_killed_nothing_is_lost_or_doubled(self):
+        for engine in self.world.engines:
+            engine.pace = 0.15
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 24), 202)
+        time.sleep(0.7)
+        holder = self.world.holder()
+        holder.kill()
+        reader = next(node for node in self.world.nodes if node is not holder)
+        self.check_results(self.world.wait_results(reader, "b1", 24, 20), 24)
+
+    def test_holder_frozen_its_orders_are_refused_and_positions_stay(self):
+        for engine in self.world.engines:
+            engine.pace = 0.2
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 24), 202)
+        holder = self.world.holder()
+        holder.signal(signal.SIGSTOP)
+        others = [node for node in self.world.nodes if node is not holder]
+        eventually(lambda: any(node.events("conductor.active") for node in others), 6, "another holder")
+        self.world.name_version(2)
+        before = self.world.wait_results(others[0], "b1", 24, 20)
+        holder.signal(signal.SIGCONT)
+        time.sleep(1)
+        self.assertEqual(self.world.wait_results(holder, "b1", 24, 5), before)
+        fences = [order["fencing_token"] for engine in self.world.engines for order in engine.orders]
+        for engine in self.world.engines:
+            own = [order["fencing_token"] for order in engine.orders]
+            self.assertEqual(own, sorted(own))
+        self.assertTrue(fences)
+
+    def test_store_away_batches_wait_and_running_ones_go_on(self):
+        for engine in self.world.engines:
+            engine.pace = 0.1
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 10), 202)
+        time.sleep(0.2)
+        self.world.store.mode = "silent"
+        outcome = []
+        waiting = threading.Thread(target=lambda: outcome.append(self.world.submit(self.world.nodes[1], "b2", 5)))
+        waiting.start()
+        time.sleep(2.5)
+        self.assertEqual(outcome, [])
+        runs = sum(len(engine.requests) for engine in self.world.engines)
+        self.assertGreaterEqual(runs, 10)
+        self.world.store.mode = "up"
+        waiting.join(8)
+        self.assertEqual(outcome, [202])
+        self.check_results(self.world.wait_results(self.world.nodes[2], "b1", 10), 10)
+        self.check_results(self.world.wait_results(self.world.nodes[2], "b2", 5), 5)
+
+    def test_lost_answers_of_the_store_double_nothing(self):
+        self.world.store.lose_answers = 6
+        statuses = [self.world.submit(self.world.nodes[n % 3], "b1", 10) for n in range(2)]
+        if 202 not in statuses:
+            statuses.append(self.world.submit(self.world.nodes[0], "b1", 10))
+        self.assertIn(202, statuses)
+        self.check_results(self.world.wait_results(self.world.nodes[1], "b1", 10, 20), 10)
+
+    def test_engine_lost_midway_its_items_are_resumed(self):
+        for engine in self.world.engines:
+            engine.pace = 0.15
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 9), 202)
+        time.sleep(0.6)
+        self.world.engines[0].leave()
+        self.world.engines[0].stop()
+        self.check_results(self.world.wait_results(self.world.nodes[0], "b1", 9, 20), 9)
+        resumed = [run for engine in self.world.engines[1:] for run in engine.requests if run["from"] > 0]
+        self.assertTrue(resumed)
+
+    def test_failing_item_is_given_up_after_its_attempts(self):
+        for engine in self.world.engines:
+            engine.fail_next = 100
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 1), 202)
+        results = self.world.wait_results(self.world.nodes[0], "b1", 1)
+        self.assertEqual(results[0]["state"], "lost")
+        self.assertEqual(sum(100 - engine.fail_next for engine in self.world.engines), 3)
+
+    def test_new_weights_reach_all_engines_and_samples_name_them(self):
+        self.world.name_version(2)
+        eventually(lambda: all(engine.version == 2 for engine in self.world.engines), 8, "version 2 everywhere")
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 12, min_version=2), 202)
+        self.world.name_version(3)
+        results = self.world.wait_results(self.world.nodes[0], "b1", 12)
+        self.check_results(results, 12)
+        self.assertTrue(all(min(result["versions"]) >= 2 for result in results))
+
+    def test_requests_reach_their_service_with_the_workspace_and_without_the_key(self):
+        node = self.world.nodes[0]
+        status, body, headers = node.call("POST", "/orders/1", b"mats", headers={"X-Request-Id": "r1"})
+        self.assertEqual((status, body), (200, b"done:mats"))
+        self.assertIn("X-Server-Stamp", headers)
+        self.assertEqual(node.call("POST", "/orders/1", key="stranger")[0], 401)
+        self.assertEqual(node.call("POST", "/orders/1", key=None)[0], 401)
+        self.assertEqual(node.call("POST", "/nowhere/1")[0], 404)
+        seen = [run for server in self.world.plains for run in server.requests]
+        self.assertEqual([run["id"] for run in seen], ["r1"])
+        self.assertEqual(seen[0]["headers"]["x-tenant"], "amend")
+        self.assertNotIn(KEY, json.dumps(seen[0]["headers"]))
+        for text in (machine.log.read_text() for machine in self.world.nodes):
+            self.assertNotIn(KEY, text)
+
+    def test_unsafe_request_runs_once_when_its_answer_is_lost(self):
+        for server in self.world.plains:
+            server.crash_on = b"killer"
+        status, _, _ = self.world.nodes[0].call("POST", "/once/1", b"killer", headers={"X-Request-Id": "r1"})
+        self.assertEqual(status, 502)
+        self.assertEqual(sum(len(server.requests) for server in self.world.plains), 1)
+
+    def test_request_that_crashes_servers_is_refused_everywhere(self):
+        for server in self.world.plains:
+            server.crash_on = b"killer"
+        for attempt in range(3):
+            self.world.nodes[0].call("POST", "/orders/1", b"killer", headers={"X-Request-Id": f"r{attempt}"})
+            time.sleep(0.7)
+        time.sleep(1.6)
+        before = sum(len(server.requests) for server in self.world.plains)
+        status, _, headers = self.world.nodes[1].call("POST", "/orders/1", b"killer", headers={"X-Request-Id": "x"})
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(sum(len(server.requests) for server in self.world.plains), before)
+
+    def test_withdrawn_key_stops_at_all_machines(self):
+        self.world.keys = ["key-two"]
+        self.world.configure()
+        for node in self.world.nodes:
+            eventually(lambda: node.call("POST", "/orders/1")[0] == 401, CONFIGURATION_BOUND, "the key withdrawn")
+            self.assertEqual(node.call("POST", "/orders/1", key="key-two")[0], 200)
+
+    def test_unreadable_configuration_changes_nothing(self):
+        self.world.store.put("keyed.op", "config", {"version": 99})
+        time.sleep(0.5)
+        self.assertEqual(self.world.nodes[0].call("POST", "/orders/1")[0], 200)
+        self.assertTrue(self.world.nodes[0].events("configuration.malformed"))
+
+    def test_draining_server_gets_nothing_new(self):
+        self.world.plains[0].state = "draining"
+        self.world.plains[0].announce()
+        time.sleep(DRAIN_BOUND)
+        before = len(self.world.plains[0].requests)
+        for _ in range(10):
+            self.assertEqual(self.world.nodes[0].call("POST", "/orders/1")[0], 200)
+        self.assertEqual(len(self.world.plains[0].requests), before)
+
+    def test_stopped_machine_leaves_the_directory_and_cuts_nothing(self):
+        for server in self.world.plains:
+            server.work = 1.0
+        leaving, other = self.world.nodes[0], self.world.nodes[1]
+        outcome = []
+        call = threading.Thread(target=lambda: outcome.append(leaving.call("POST", "/orders/1")[0]))
+        call.start()
+        time.sleep(0.3)
+        leaving.signal(signal.SIGTERM)
+        self.assertFalse(eventually(lambda: not leaving.ready(), 1, "not ready") is None)
+        eventually(lambda: f"{leaving.ip}:" not in other.call("GET", f"/v1/resolve?name={HOST}&zone=a",
+                                                              port="directory")[1].decode(), 3, "out of the directory")
+        call.join(5)
+        self.assertEqual(outcome, [200])
+        self.assertEqual(leaving.popen.wait(9), 0)
+
+    def test_killed_machine_leaves_the_directory(self):
+        gone, other = self.world.nodes[0], self.world.nodes[1]
+        gone.kill()
+        eventually(lambda: f"{gone.ip}:" not in other.call("GET", f"/v1/resolve?name={HOST}&zone=a",
+                                                           port="directory")[1].decode(), 6, "out of the directory")
+
+    def test_usage_windows_hold_what_ran_and_never_change(self):
+        for number in range(20):
+            self.assertEqual(self.world.nodes[number % 3].call("POST", "/orders/1")[0], 200)
+        eventually(lambda: sum(counts.get("amend", 0) for counts in
+                               {window: counts for _, window, counts in self.world.usage}.values()) >= 20, 15,
+                   "20 requests reported")
+        self.world.holder().kill()
+        time.sleep(6)
+        figures = {}
+        for _, window, counts in self.world.usage:
+            self.assertEqual(figures.setdefault(window, counts), counts)
+        self.assertEqual(sum(counts.get("amend", 0) for counts in figures.values()), 20)
+        windows = sorted(figures)
+        self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+
+    def test_settings_that_are_wrong_end_the_start(self):
+        path = self.world.folder / "wrong.json"
+        settings = self.world.nodes[0].settings()
+        del settings["listen"]["front"]
+        path.write_text(json.dumps(settings))
+        done = subprocess.run([str(BIN / "nutmegplank-node"), f"--settings={path}"], capture_output=True, text=True,
+                              timeout=10)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("front", done.stderr)
+        self.assertEqual(len(done.stderr.strip().splitlines()), 1)
