Unfinished items are kept in the log and handed over to the next holder of the lease

Change: the holder keeps the texts of long items every 0.8 s, and all of them before it hands the lease back; the next one resumes after their last event. The test failed before: 18 runs from the start for 9 items, now 9.

--- a/src/app/node/batchstore.cpp
+++ b/src/app/node/batchstore.cpp
@@ -165,6 +165,37 @@
     co_return SubmissionPtr(shared);
 }
 
+auto BatchStore::loadProgress(std::string batchId)
+    -> asio::awaitable<std::vector<version::batch::Progress>>
+{
+    auto progress = std::vector<version::batch::Progress>();
+    const auto *batch = m_log.find(batchId);
+    if (batch == nullptr || batch->progress.empty())
+        co_return progress;
+    const auto offsets = batch->progress;
+    const auto partition = bulkPartition(batchId, m_journal.limits().partitions);
+    auto page = journal::Page();
+    for (const auto offset : offsets) {
+        auto present = std::ranges::find(page.records, offset, &journal::Record::offset);
+        if (present == page.records.end()) {
+            m_bulkReads.add();
+            auto read = co_await m_journal.read(partition, offset, base::Duration(0));
+            if (!read.ok() || read->records.empty()) {
+                process::logging::warning("batch.progress_unread",
+                                          { { "batch", batchId }, { "offset", offset } });
+                co_return progress;
+            }
+            page = std::move(*read);
+            present = page.records.begin();
+        }
+        auto kept = version::batch::decodeProgress(present->data, batchId);
+        if (!kept.has_value())
+            continue;
+        progress.insert(progress.end(), kept->begin(), kept->end());
+    }
+    co_return progress;
+}
+
 auto BatchStore::loadResults(std::string batchId, std::uint64_t position, std::size_t mostBytes)
     -> asio::awaitable<absl::StatusOr<std::vector<version::batch::Result>>>
 {
--- a/src/app/node/batchstore.h
+++ b/src/app/node/batchstore.h
@@ -51,6 +51,10 @@
     //! The items of a batch.
     auto loadSubmission(std::string batchId)
         -> boost::asio::awaitable<absl::StatusOr<SubmissionPtr>>;
+    //! What earlier holders of the lease have kept of unfinished items; empty when it can't be
+    //! read.
+    auto loadProgress(std::string batchId)
+        -> boost::asio::awaitable<std::vector<version::batch::Progress>>;
     //! Results from \a position on, about \a mostBytes of text at most, one at least.
     auto loadResults(std::string batchId, std::uint64_t position, std::size_t mostBytes)
         -> boost::asio::awaitable<absl::StatusOr<std::vector<version::batch::Result>>>;
--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -31,6 +31,12 @@
 //! Windows that ended longer ago are not reported any more.
 constexpr auto REPORT_WITHIN = std::chrono::seconds(20);
 constexpr auto EPOCH_RETRY = std::chrono::milliseconds(100);
+//! Texts of long items are kept this often, so that a lost holder costs them a second and not their
+//! whole run; short ones are done before.
+constexpr auto CHECKPOINT_EVERY = std::chrono::milliseconds(800);
+constexpr auto CHECKPOINT_EVENTS = 12U;
+//! A leaving holder keeps all texts before it hands the lease back, within this.
+constexpr auto HAND_OVER_TIME = std::chrono::milliseconds(600);
 constexpr auto LOAD_RETRY = std::chrono::milliseconds(100);
 constexpr auto CATCH_UP_TIME = std::chrono::seconds(3);
 
@@ -176,6 +182,7 @@
     m_meterFollower.start();
     m_waves.start();
     asio::co_spawn(m_parts.context, leaseLoop(), asio::detached);
+    asio::co_spawn(m_parts.context, checkpointLoop(), asio::detached);
     asio::co_spawn(m_parts.context, meterLoop(), asio::detached);
     asio::co_spawn(m_parts.context, usageLoop(), asio::detached);
     asio::co_spawn(m_parts.context, capacityLoop(), asio::detached);
@@ -275,7 +282,10 @@
         if (batch == nullptr || !batch->open() || m_activeFence != fence)
             co_return;
         if (submission.ok()) {
-            m_executor.addBatch(*batch, *submission);
+            const auto progress = co_await m_parts.batches.loadProgress(batchId);
+            batch = m_parts.batches.log().find(batchId);
+            if (batch != nullptr && m_activeFence == fence)
+                m_executor.addBatch(*batch, *submission, progress);
             co_return;
         }
         logging::warning(
@@ -300,12 +310,28 @@
 auto Conductor::leave() -> asio::awaitable<void>
 {
     m_leaving = true;
+    if (m_activeFence != 0) {
+        for (auto &[batch, items] : m_executor.takeProgress(1))
+            m_results.addProgress(batch, std::move(items));
+        co_await m_results.drain(process::clock::now() + HAND_OVER_TIME);
+    }
     const auto action = m_leadership.release();
     deactivate("this process is leaving");
     if (action.has_value())
         co_await sendLease(*action);
 }
 
+auto Conductor::checkpointLoop() -> asio::awaitable<void>
+{
+    while (!m_leaving) {
+        co_await pauseFor(CHECKPOINT_EVERY);
+        if (m_activeFence == 0 || m_leaving || !m_parts.batches.reachable())
+            continue;
+        for (auto &[batch, items] : m_executor.takeProgress(CHECKPOINT_EVENTS))
+            m_results.addProgress(batch, std::move(items));
+    }
+}
+
 auto Conductor::meterLoop() -> asio::awaitable<void>
 {
     while (true) {
--- a/src/app/node/conductor.h
+++ b/src/app/node/conductor.h
@@ -64,6 +64,7 @@
     auto deactivate(std::string_view reason) -> void;
     auto openBatch(const version::batch::Batch &batch) -> void;
     auto loadBatch(std::string batchId, std::uint64_t fence) -> boost::asio::awaitable<void>;
+    auto checkpointLoop() -> boost::asio::awaitable<void>;
     auto meterLoop() -> boost::asio::awaitable<void>;
     auto usageLoop() -> boost::asio::awaitable<void>;
     auto closeWindows(std::uint64_t fence) -> boost::asio::awaitable<void>;
--- a/src/app/node/resultwriter.cpp
+++ b/src/app/node/resultwriter.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 
 #include "app/node/partitions.h"
+#include "process/clock/clock.h"
 #include "process/logging/logging.h"
 #include "version/batch/batchcodec.h"
 
@@ -40,6 +41,7 @@
 auto ResultWriter::begin(std::uint64_t fence) -> asio::awaitable<std::optional<std::uint64_t>>
 {
     m_waiting.clear();
+    m_progress.clear();
     const auto condition =
         journal::AppendCondition { {}, journal::Producer { PRODUCER, fence, 0 } };
     const auto nothing = std::vector<std::string>();
@@ -61,6 +63,7 @@
 {
     m_fence = 0;
     m_waiting.clear();
+    m_progress.clear();
 }
 
 auto ResultWriter::add(const std::string &batch, version::batch::Result result) -> void
@@ -68,9 +71,32 @@
     if (m_fence == 0)
         return;
     m_waiting[batch].push_back(std::move(result));
-    if (std::exchange(m_writing, true))
+    startWriting();
+}
+
+auto ResultWriter::addProgress(const std::string &batch,
+                               std::vector<version::batch::Progress> items) -> void
+{
+    if (m_fence == 0)
         return;
-    asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
+    auto &waiting = m_progress[batch];
+    std::ranges::move(items, std::back_inserter(waiting));
+    startWriting();
+}
+
+auto ResultWriter::startWriting() -> void
+{
+    if (!std::exchange(m_writing, true))
+        asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
+}
+
+auto ResultWriter::drain(base::TimePoint until) -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(m_context);
+    while (m_writing && process::clock::now() < until) {
+        timer.expires_after(GATHER);
+        co_await timer.async_wait(USE_TUPLE);
+    }
 }
 
 auto ResultWriter::takeGroups() -> std::vector<Group>
@@ -91,6 +117,23 @@
         if (results.empty())
             m_waiting.erase(m_waiting.begin());
     }
+    // Results go alone: they are waited for, and progress is not.
+    if (!groups.empty())
+        return groups;
+    while (!m_progress.empty() && callBytes < CALL_TEXT) {
+        auto &[batch, items] = *m_progress.begin();
+        auto group = Group { batch };
+        auto bytes = std::size_t(0);
+        while (!items.empty() && bytes < RECORD_TEXT) {
+            bytes += items.back().text.size();
+            group.progress.push_back(std::move(items.back()));
+            items.pop_back();
+        }
+        callBytes += bytes;
+        groups.push_back(std::move(group));
+        if (items.empty())
+            m_progress.erase(m_progress.begin());
+    }
     return groups;
 }
 
@@ -115,8 +158,10 @@
     for (const auto &group : groups) {
         auto result = journal::AppendResult();
         while (m_fence == fence && result.outcome != AppendOutcome::Done) {
-            auto records = std::vector<std::string> { version::batch::encodeResults(
-                group.batch, group.results) };
+            auto records = std::vector<std::string>();
+            records.push_back(group.results.empty()
+                                  ? version::batch::encodeProgress(group.batch, group.progress)
+                                  : version::batch::encodeResults(group.batch, group.results));
             const auto partition = bulkPartition(group.batch, m_journal.limits().partitions);
             result = co_await m_journal.appendAlways(partition, std::move(records), APPEND_TIME);
             if (result.outcome == AppendOutcome::Done)
@@ -125,9 +170,12 @@
             timer.expires_after(RETRY);
             co_await timer.async_wait(USE_TUPLE);
         }
-        if (m_fence == fence)
-            index.push_back(
-                version::batch::encodeListed(group.batch, result.offset, group.results));
+        if (m_fence != fence)
+            break;
+        index.push_back(
+            group.results.empty()
+                ? version::batch::encodeListedProgress(group.batch, result.offset)
+                : version::batch::encodeListed(group.batch, result.offset, group.results));
     }
     co_return index;
 }
@@ -146,10 +194,8 @@
         co_await writeIndex(fence, index);
     }
     m_writing = false;
-    if (m_fence != 0 && !m_waiting.empty()) {
-        m_writing = true;
-        asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
-    }
+    if (m_fence != 0 && (!m_waiting.empty() || !m_progress.empty()))
+        startWriting();
 }
 
 auto ResultWriter::writeIndex(std::uint64_t fence, std::vector<std::string> records)
--- a/src/app/node/resultwriter.h
+++ b/src/app/node/resultwriter.h
@@ -26,15 +26,22 @@
     auto begin(std::uint64_t fence) -> boost::asio::awaitable<std::optional<std::uint64_t>>;
     auto stop() -> void;
     auto add(const std::string &batch, version::batch::Result result) -> void;
+    //! Keeps what unfinished items of \a batch have so far.
+    auto addProgress(const std::string &batch, std::vector<version::batch::Progress> items) -> void;
+    //! Returns once everything is written, or at \a until.
+    auto drain(base::TimePoint until) -> boost::asio::awaitable<void>;
 
 private:
-    //! Results of one batch that share a record.
+    //! Results, or progress, of one batch that share a record.
     struct Group
     {
         std::string batch;
         std::vector<version::batch::Result> results;
+        std::vector<version::batch::Progress> progress;
     };
 
+    auto startWriting() -> void;
+
     auto writeLoop(std::uint64_t fence) -> boost::asio::awaitable<void>;
     auto takeGroups() -> std::vector<Group>;
     auto storeTexts(std::uint64_t fence, std::vector<Group> groups)
@@ -47,7 +54,8 @@
     boost::asio::io_context &m_context;
     version::journal::IJournal &m_journal;
     std::function<void()> m_onFenced;
-    std::map<std::string, std::vector<version::batch::Result>> m_waiting; //!< By batch.
+    std::map<std::string, std::vector<version::batch::Result>> m_waiting;    //!< By batch.
+    std::map<std::string, std::vector<version::batch::Progress>> m_progress; //!< By batch.
     std::uint64_t m_fence = 0;
     std::uint64_t m_sequence = 0;
     bool m_writing = false;
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -130,7 +130,8 @@
                               std::string_view(path).substr(0, path.find('?')));
 }
 
-auto RolloutExecutor::addBatch(const Batch &batch, SubmissionPtr items) -> void
+auto RolloutExecutor::addBatch(const Batch &batch, SubmissionPtr items,
+                               const std::vector<version::batch::Progress> &progress) -> void
 {
     const auto &head = batch.head;
     if (!m_active || !batch.open() || m_batches.contains(head.id))
@@ -152,6 +153,17 @@
         if (batch.listed[index])
             item.state = ItemState::Done;
     }
+    auto resumed = std::size_t(0);
+    for (const auto &kept : progress) {
+        if (kept.item >= work.items.size() || work.items[kept.item].state == ItemState::Done)
+            continue;
+        auto &item = work.items[kept.item];
+        if (kept.events <= item.transcript->eventCount())
+            continue;
+        item.transcript->restore(kept.lastEvent, kept.events, kept.text, kept.versions);
+        item.keptEvents = kept.events;
+        ++resumed;
+    }
     logging::info("rollout.batch_opened",
                   { { "batch", head.id },
                     { "model", head.model },
@@ -159,6 +171,7 @@
                     { "min_version", head.minVersion },
                     { "items", batch.itemCount() },
                     { "listed", batch.listedCount },
+                    { "resumed", resumed },
                     { "age_ms", age.count() } });
     m_batches.emplace(head.id, std::move(work));
     wake();
@@ -188,6 +201,26 @@
     wake();
 }
 
+auto RolloutExecutor::takeProgress(std::uint32_t leastEvents)
+    -> std::map<std::string, std::vector<version::batch::Progress>>
+{
+    auto kept = std::map<std::string, std::vector<version::batch::Progress>>();
+    for (auto &[id, batch] : m_batches) {
+        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
+            auto &item = batch.items[index];
+            const auto &transcript = *item.transcript;
+            if (item.state == ItemState::Done || transcript.empty()
+                || transcript.eventCount() < item.keptEvents + leastEvents)
+                continue;
+            item.keptEvents = transcript.eventCount();
+            kept[id].push_back({ static_cast<std::uint32_t>(index), transcript.lastId(),
+                                 transcript.eventCount(), transcript.text(),
+                                 transcript.versions() });
+        }
+    }
+    return kept;
+}
+
 auto RolloutExecutor::demand() const -> std::map<std::string, double>
 {
     auto tokens = std::map<std::string, double>();
@@ -554,6 +587,7 @@
     case RunEnd::Malformed:
     case RunEnd::Outdated:
         item.transcript->reset();
+        item.keptEvents = 0;
         item.avoid = item.engine;
         return;
     case RunEnd::NotRun:
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -53,7 +53,12 @@
     auto stop(std::string_view reason) -> void;
     auto active() const -> bool { return m_active; }
 
-    auto addBatch(const version::batch::Batch &batch, SubmissionPtr items) -> void;
+    //! \a progress: what an earlier holder has kept of unfinished items.
+    auto addBatch(const version::batch::Batch &batch, SubmissionPtr items,
+                  const std::vector<version::batch::Progress> &progress) -> void;
+    //! Unfinished items, by batch, that have \a leastEvents more than when they were last given.
+    auto takeProgress(std::uint32_t leastEvents)
+        -> std::map<std::string, std::vector<version::batch::Progress>>;
     auto endBatch(const std::string &id) -> void;
     //! Looks again soon: a server, a place or a version has changed.
     auto wake() -> void;
@@ -81,6 +86,7 @@
         std::uint32_t failures = 0;   //!< The engine ran it and failed.
         std::uint32_t rejections = 0; //!< The engine says that it can't be done.
         std::uint32_t losses = 0;     //!< Connections lost while it ran.
+        std::uint32_t keptEvents = 0; //!< Of the transcript, when it was last given to be kept.
         std::uint32_t seenEvents = 0; //!< Of the current run, for the engine's pace.
         base::TimePoint seenAt {};
         base::TimePoint notBefore {};
--- a/src/request/rollout/tests/transcript_tests.cpp
+++ b/src/request/rollout/tests/transcript_tests.cpp
@@ -60,3 +60,14 @@
     EXPECT_EQ(transcript.append(event(1, "a")), AppendVerdict::Taken);
     EXPECT_EQ(transcript.append(event(2, "b", 5)), AppendVerdict::Mixed);
 }
+
+TEST(Transcript, Transcript_Restored_GoesOnAfterItsLastEvent)
+{
+    auto transcript = Transcript({ 4, false });
+    transcript.restore(2, 2, "a\nb", { 4 });
+    transcript.beginRun(5);
+    EXPECT_EQ(transcript.append(event(1, "a")), AppendVerdict::Gap);
+    EXPECT_EQ(transcript.append(event(3, "c")), AppendVerdict::Taken);
+    EXPECT_EQ(transcript.text(), "a\nb\nc");
+    EXPECT_EQ(transcript.versions(), (std::vector<std::uint64_t> { 4, 5 }));
+}
--- a/src/request/rollout/transcript.cpp
+++ b/src/request/rollout/transcript.cpp
@@ -30,6 +30,16 @@
     return AppendVerdict::Taken;
 }
 
+auto Transcript::restore(std::uint64_t lastId, std::uint32_t events, std::string text,
+                         std::vector<std::uint64_t> versions) -> void
+{
+    m_version.reset();
+    m_lastId = lastId;
+    m_events = events;
+    m_text = std::move(text);
+    m_versions = std::move(versions);
+}
+
 auto Transcript::reset() -> void
 {
     m_version.reset();
--- a/src/request/rollout/transcript.h
+++ b/src/request/rollout/transcript.h
@@ -39,6 +39,10 @@
     //! Forgets the text: the next run starts from the beginning.
     auto reset() -> void;
 
+    //! Takes over what an earlier holder has kept of the text.
+    auto restore(std::uint64_t lastId, std::uint32_t events, std::string text,
+                 std::vector<std::uint64_t> versions) -> void;
+
     auto empty() const -> bool { return m_events == 0; }
     auto eventCount() const -> std::uint32_t { return m_events; }
     auto lastId() const -> std::uint64_t { return m_lastId; }
--- a/src/version/batch/batch.h
+++ b/src/version/batch/batch.h
@@ -55,6 +55,16 @@
     std::vector<std::uint64_t> versions; //!< Weights that made the text.
 };
 
+//! What an unfinished item has so far.
+struct Progress
+{
+    std::uint32_t item = 0; //!< Index in the submission.
+    std::uint64_t lastEvent = 0;
+    std::uint32_t events = 0;
+    std::string text;
+    std::vector<std::uint64_t> versions;
+};
+
 //! Results that share a record of the bulk partition.
 struct ListedGroup
 {
@@ -72,7 +82,8 @@
     std::string attempt;          //!< That stored the submission.
     std::vector<bool> listed;     //!< By item.
     std::vector<ListedGroup> groups;
-    std::uint64_t listedCount = 0; //!< Positions never change.
+    std::vector<std::uint64_t> progress; //!< Bulk offsets of its progress records, oldest first.
+    std::uint64_t listedCount = 0;       //!< Positions never change.
     bool ended = false;
 
     auto itemCount() const -> std::size_t { return listed.size(); }
--- a/src/version/batch/batchcodec.h
+++ b/src/version/batch/batchcodec.h
@@ -16,11 +16,15 @@
 //! The bulk record of results of one batch.
 auto encodeResults(const std::string &batchId, const std::vector<Result> &results) -> std::string;
 
+//! The bulk record of what unfinished items of a batch have so far.
+auto encodeProgress(const std::string &batchId, const std::vector<Progress> &items) -> std::string;
+
 //! Index records.
 auto encodeAccepted(const Submission &submission, std::uint64_t bulkOffset,
                     const std::string &attempt) -> std::string;
 auto encodeListed(const std::string &batchId, std::uint64_t bulkOffset,
                   const std::vector<Result> &results) -> std::string;
+auto encodeListedProgress(const std::string &batchId, std::uint64_t bulkOffset) -> std::string;
 auto encodeEnd(const std::string &batchId) -> std::string;
 
 //! Puts parts of a submission together as they are read.
@@ -49,4 +53,8 @@
 auto decodeResults(const std::string &data, const std::string &batchId)
     -> std::optional<std::vector<Result>>;
 
+//! The progress in a bulk record; nothing when it holds none of \a batchId.
+auto decodeProgress(const std::string &data, const std::string &batchId)
+    -> std::optional<std::vector<Progress>>;
+
 } // namespace nutmegplank::version::batch
--- a/src/version/batch/batchlog.h
+++ b/src/version/batch/batchlog.h
@@ -41,6 +41,7 @@
 private:
     auto accept(const record::BatchAccepted &accepted) -> void;
     auto list(const record::ListedResults &listed) -> void;
+    auto noteProgress(const record::ListedProgress &progress) -> void;
     auto end(const std::string &id) -> void;
 
     BatchLogHooks m_hooks;
--- a/src/version/batch/internal/batchcodec.cpp
+++ b/src/version/batch/internal/batchcodec.cpp
@@ -91,6 +91,31 @@
     return message.SerializeAsString();
 }
 
+auto encodeProgress(const std::string &batchId, const std::vector<Progress> &items) -> std::string
+{
+    auto message = record::BulkRecord();
+    auto &stored = *message.mutable_progress();
+    stored.set_batch_id(batchId);
+    for (const auto &progress : items) {
+        auto &added = *stored.add_items();
+        added.set_item(progress.item);
+        added.set_last_event(progress.lastEvent);
+        added.set_events(progress.events);
+        added.set_text(progress.text);
+        for (const auto version : progress.versions)
+            added.add_versions(version);
+    }
+    return message.SerializeAsString();
+}
+
+auto encodeListedProgress(const std::string &batchId, std::uint64_t bulkOffset) -> std::string
+{
+    auto message = record::IndexRecord();
+    message.mutable_progress()->set_batch_id(batchId);
+    message.mutable_progress()->set_bulk_offset(bulkOffset);
+    return message.SerializeAsString();
+}
+
 auto encodeAccepted(const Submission &submission, std::uint64_t bulkOffset,
                     const std::string &attempt) -> std::string
 {
@@ -189,4 +214,23 @@
     return results;
 }
 
+auto decodeProgress(const std::string &data, const std::string &batchId)
+    -> std::optional<std::vector<Progress>>
+{
+    auto message = record::BulkRecord();
+    if (!message.ParseFromString(data) || !message.has_progress()
+        || message.progress().batch_id() != batchId)
+        return std::nullopt;
+    auto items = std::vector<Progress>();
+    for (const auto &stored : message.progress().items()) {
+        auto &progress = items.emplace_back();
+        progress.item = stored.item();
+        progress.lastEvent = stored.last_event();
+        progress.events = stored.events();
+        progress.text = stored.text();
+        progress.versions.assign(stored.versions().begin(), stored.versions().end());
+    }
+    return items;
+}
+
 } // namespace nutmegplank::version::batch
--- a/src/version/batch/internal/batchlog.cpp
+++ b/src/version/batch/internal/batchlog.cpp
@@ -23,6 +23,9 @@
     case record::IndexRecord::kEnd:
         end(message.end().batch_id());
         return;
+    case record::IndexRecord::kProgress:
+        noteProgress(message.progress());
+        return;
     case record::IndexRecord::CONTENT_NOT_SET:
         logging::error("batch.malformed_record", { { "offset", record.offset } });
         return;
@@ -78,6 +81,13 @@
         m_hooks.onResults(batch);
 }
 
+auto BatchLog::noteProgress(const record::ListedProgress &progress) -> void
+{
+    const auto found = m_batches.find(progress.batch_id());
+    if (found != m_batches.end())
+        found->second->progress.push_back(progress.bulk_offset());
+}
+
 auto BatchLog::end(const std::string &id) -> void
 {
     const auto found = m_batches.find(id);
--- a/src/version/batch/tests/batchcodec_tests.cpp
+++ b/src/version/batch/tests/batchcodec_tests.cpp
@@ -63,3 +63,14 @@
     ASSERT_TRUE(results.has_value());
     EXPECT_EQ(results->front().versions, (std::vector<std::uint64_t> { 3, 4 }));
 }
+
+TEST(BatchCodec, BatchCodec_Progress_ComesBackForItsBatchOnly)
+{
+    const auto record = encodeProgress("b", { { 3, 17, 17, "so far", { 4, 5 } } });
+    EXPECT_FALSE(decodeProgress(record, "c").has_value());
+    EXPECT_FALSE(decodeResults(record, "b").has_value());
+    const auto progress = decodeProgress(record, "b");
+    ASSERT_TRUE(progress.has_value());
+    EXPECT_EQ(progress->front().lastEvent, 17U);
+    EXPECT_EQ(progress->front().versions, (std::vector<std::uint64_t> { 4, 5 }));
+}
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -267,3 +267,16 @@
         self.assertEqual(done.returncode, 2)
         self.assertIn("front", done.stderr)
         self.assertEqual(len(done.stderr.strip().splitlines()), 1)
+
+    def test_stopped_holder_hands_over_what_its_items_have(self):
+        for engine in self.world.engines:
+            engine.pace = 0.4
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 9), 202)
+        time.sleep(1.4)
+        holder = self.world.holder()
+        holder.signal(signal.SIGTERM)
+        reader = next(node for node in self.world.nodes if node is not holder)
+        self.check_results(self.world.wait_results(reader, "b1", 9, 12), 9)
+        starts = [run["from"] for engine in self.world.engines for run in engine.requests]
+        self.assertEqual(len([start for start in starts if start == 0]), 9)
+        self.assertEqual(len([start for start in starts if start >= 2]), 9)
