--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -109,16 +109,22 @@
 }
 
 auto CallService::noteAnswer(const Exchange &exchange, std::uint32_t status,
-                             std::string_view outcome) const -> void
+                             std::string_view outcome, std::string_view server,
+                             std::uint32_t attempts) const -> void
 {
     const auto took = process::clock::now() - exchange.receivedAt;
     m_seconds.record(took);
     (status < FIRST_ERROR ? m_answered : m_refused).add();
-    logging::debug("call.answered",
-                   { { "request", exchange.call.requestId },
-                     { "status", status },
-                     { "outcome", outcome },
-                     { "took_ms", base::toMilliseconds(took) } });
+    logging::info("call.answered",
+                  { { "request", exchange.call.requestId },
+                    { "kind", base::nameOf(request::call::CALL_KIND_NAMES, exchange.call.kind) },
+                    { "workspace", exchange.workspace },
+                    { "status", status },
+                    { "outcome", outcome },
+                    { "server", server },
+                    { "attempts", attempts },
+                    { "configuration", exchange.table == nullptr ? 0 : exchange.table->version },
+                    { "took_ms", base::toMilliseconds(took) } });
 }
 
 auto CallService::admit(Exchange &exchange, const version::routing::Route *route) const
@@ -194,12 +200,13 @@
     auto result = co_await m_parts.forwarder.forward(std::move(call), handle, sink);
     const auto name = base::nameOf(request::forward::FORWARD_END_NAMES, result.end);
     if (result.end == request::forward::ForwardEnd::CallerGone) {
-        noteAnswer(exchange, 0, name);
+        noteAnswer(exchange, 0, name, result.server, result.attempts);
         responder.abort();
         co_return;
     }
     if (result.streamed) {
-        noteAnswer(exchange, result.response.status, result.complete ? name : "cut");
+        noteAnswer(exchange, result.response.status, result.complete ? name : "cut", result.server,
+                   result.attempts);
         if (result.complete)
             co_await responder.endStream();
         else
@@ -207,11 +214,11 @@
         co_return;
     }
     if (result.end == request::forward::ForwardEnd::Answered) {
-        noteAnswer(exchange, result.response.status, name);
+        noteAnswer(exchange, result.response.status, name, result.server, result.attempts);
         co_await responder.respond(m_parts.protocol.returnable(std::move(result.response)));
         co_return;
     }
-    noteAnswer(exchange, FIRST_ERROR, name);
+    noteAnswer(exchange, FIRST_ERROR, name, result.server, result.attempts);
     auto answer = refuse(exchange, refusalFor(result));
     co_await responder.respond(std::move(answer));
 }
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -64,8 +64,8 @@
     auto readBody(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
     auto endBatch(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
     auto refuse(const Exchange &exchange, request::call::Refusal refusal) const -> Answer;
-    auto noteAnswer(const Exchange &exchange, std::uint32_t status, std::string_view outcome) const
-        -> void;
+    auto noteAnswer(const Exchange &exchange, std::uint32_t status, std::string_view outcome,
+                    std::string_view server = {}, std::uint32_t attempts = 0) const -> void;
 
     CallServiceParts m_parts;
     process::metrics::Counter &m_answered;
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -209,7 +209,7 @@
         logging::info("request.attempt_ended",
                       { { "request", call.requestId },
                         { "server", id },
-                        { "end", static_cast<int>(attempt.end) },
+                        { "end", base::nameOf(ATTEMPT_END_NAMES, attempt.end) },
                         { "detail", attempt.detail },
                         { "took_ms", base::toMilliseconds(latency) },
                         { "record_age_ms", base::toMilliseconds(now - server.heardAt) } });
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -122,6 +122,14 @@
         SinkGone,
     };
 
+    static constexpr auto ATTEMPT_END_NAMES = base::EnumTable<AttemptEnd, 5> { {
+        { AttemptEnd::Answered, "answered" },
+        { AttemptEnd::Unreachable, "unreachable" },
+        { AttemptEnd::NotRun, "not_run" },
+        { AttemptEnd::Lost, "lost" },
+        { AttemptEnd::SinkGone, "caller_gone" },
+    } };
+
     struct Attempt
     {
         AttemptEnd end = AttemptEnd::Lost;
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -474,6 +474,16 @@
     item.state = ItemState::Running;
     item.engine = engine.id;
     item.seenEvents = 0;
+    logging::info("rollout.placed",
+                  { { "batch", key.batch },
+                    { "item", source.id },
+                    { "server", engine.id },
+                    { "running", engine.running },
+                    { "pace", engine.pace },
+                    { "weights", engine.modelVersion.at(submission.head.model) },
+                    { "expected_tokens", expectedOutput(batch, key.item) },
+                    { "from_event", item.transcript->lastId() },
+                    { "record_age_ms", base::toMilliseconds(m_parts.now() - server->heardAt) } });
     ++m_running[engine.id];
     m_parts.health.noteStart(engine.id, m_parts.now());
     m_runs.add();
