A machine that knows no backend servers yet says that it is not ready

Also: tests of the directory first wait until the machine is named (one passed without having been named at all).

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -132,6 +132,8 @@
 {
     if (exchange.table == nullptr)
         return Refusal { RefusalCode::NotReady, "no configuration is known yet", START_RETRY };
+    if (route != nullptr && !m_parts.serversKnown())
+        return Refusal { RefusalCode::NotReady, "no backend servers are known yet", START_RETRY };
     const auto needsKey = exchange.table->keysNeeded && (route == nullptr || !route->open);
     if (!needsKey)
         return std::nullopt;
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -25,6 +25,8 @@
     process::clock::TrueTime &trueTime;
     process::metrics::Registry &metrics;
     std::function<version::routing::RoutingTablePtr()> routing;
+    //! Whether the list of backend servers has been read since the start.
+    std::function<bool()> serversKnown;
 };
 
 //! Answers callers.
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -91,7 +91,8 @@
                     [this](const std::string &workspace) { m_conductor.countRun(workspace); } })
     , m_relay([this] { return m_membership.peers(process::clock::now()); }, m_metrics)
     , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_relay, m_trueTime,
-                m_metrics, [this] { return m_routing.load(); } })
+                m_metrics, [this] { return m_routing.load(); },
+                [this] { return m_serverFollower.complete(); } })
 { }
 
 auto Node::callerLimits() const -> http::ServerLimits
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -224,6 +224,7 @@
         for server in self.world.plains:
             server.work = 1.0
         leaving, other = self.world.nodes[0], self.world.nodes[1]
+        self.wait_named(leaving, other)
         outcome = []
         call = threading.Thread(target=lambda: outcome.append(leaving.call("POST", "/orders/1")[0]))
         call.start()
@@ -236,8 +237,13 @@
         self.assertEqual(outcome, [200])
         self.assertEqual(leaving.popen.wait(9), 0)
 
+    def wait_named(self, node, other):
+        eventually(lambda: f"{node.ip}:" in other.call("GET", f"/v1/resolve?name={HOST}&zone=a",
+                                                       port="directory")[1].decode(), 5, "named by the directory")
+
     def test_killed_machine_leaves_the_directory(self):
         gone, other = self.world.nodes[0], self.world.nodes[1]
+        self.wait_named(gone, other)
         gone.kill()
         eventually(lambda: f"{gone.ip}:" not in other.call("GET", f"/v1/resolve?name={HOST}&zone=a",
                                                            port="directory")[1].decode(), 6, "out of the directory")
