--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -169,7 +169,6 @@
     ForwarderParts m_parts;
     std::unordered_map<std::string, std::uint32_t> m_outstanding; //!< By server.
     std::unordered_map<std::string, base::Duration> m_latency;    //!< By server, smoothed.
-    std::uint64_t m_draws = 0;
     process::metrics::Counter &m_attempts;
     process::metrics::Distribution &m_attemptSeconds;
 };
--- a/tests/platformworld/store.py
+++ b/tests/platformworld/store.py
@@ -55,12 +55,6 @@
         partition.records.append(bytes([len(key)]) + key.encode() + data)
         partition.wake()
 
-    def forget_history(self, topic: str) -> None:
-        """Keeps the newest record of each key only, as a log does that was compacted."""
-        partition = self.partition(topic)
-        partition.first, partition.records = partition.end, []
-        self.kept = getattr(self, "kept", {})
-
     async def handle(self, request: Request) -> Answer:
         self.calls += 1
         if self.mode == "silent":
