Order the calls of lease holders where peers check no fencing numbers

Cause: with enforce_fencing = false neither the platform nor the engines refuse a call under an old fencing number. The lease was checked before a connection was made, a call could last past the end of the term, its bytes could arrive after a network interruption, and a machine could get the lease back right after another one had acted.

Change: the lease is checked right before the bytes are written (FencedCalls, sendFenced); a call ends 100 ms before the term, and its connection is then reset so that nothing arrives later; a machine that is stopped hands the lease over only after its calls have ended; a machine whose lease was taken over does not claim it for lease_ms. The last three hold only where fences are not checked, so that the speed of a takeover elsewhere is as before.

Tests: a stateful fuzz of the lease with calls held back by the network, seen to fail without the pause and with a call limit after the term. Its generators, and those of the older fuzz beside it, now use their whole ranges: RapidCheck grows ranges with its size, and most schedules had no restart at all. A test with real processes freezes, stops and kills the holder in turn.

--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -36,11 +36,16 @@
 constexpr auto SMALL_CPU_SHARE = 0.3;
 constexpr auto SMALL_HANDICAP = std::chrono::milliseconds(800);
 
-auto leaseTimes(double cpuShare) -> version::leadership::LeaseTimes
+constexpr auto CALL_END_CHECK = std::chrono::milliseconds(10);
+
+auto leaseTimes(const process::settings::MachineSettings &settings)
+    -> version::leadership::LeaseTimes
 {
     auto times = version::leadership::LeaseTimes();
-    if (cpuShare < SMALL_CPU_SHARE)
+    if (settings.cpuShare < SMALL_CPU_SHARE)
         times.claimDelay = SMALL_HANDICAP;
+    if (!settings.peersCheckFences)
+        times.pauseAfterLoss = settings.holderTurn;
     return times;
 }
 
@@ -48,8 +53,7 @@
 
 Conductor::Conductor(ConductorParts parts)
     : m_parts(std::move(parts))
-    , m_leadership({ m_parts.process, m_parts.settings.node },
-                   leaseTimes(m_parts.settings.cpuShare))
+    , m_leadership({ m_parts.process, m_parts.settings.node }, leaseTimes(m_parts.settings))
     , m_leaseFollower(m_parts.context, m_parts.journal,
                       { partitionFor(PartitionUse::Lease), LONG_POLL },
                       { [this](const journal::Record &record, base::TimePoint now) {
@@ -99,11 +103,32 @@
 auto Conductor::orderFence(base::TimePoint now) const -> std::optional<std::uint64_t>
 {
     const auto fence = m_leadership.fence(now);
-    if (!fence.has_value() || m_activeFence != *fence || *fence <= m_refusedFence)
+    if (!fence.has_value() || m_handingOver || m_activeFence != *fence || *fence <= m_refusedFence)
         return std::nullopt;
     return fence;
 }
 
+auto Conductor::permitCall(std::uint64_t fence, base::TimePoint now) const
+    -> std::optional<version::leadership::CallPermission>
+{
+    if (orderFence(now) != fence)
+        return std::nullopt;
+    if (m_parts.settings.peersCheckFences)
+        return version::leadership::CallPermission { base::TimePoint::max() };
+    const auto limit = m_leadership.uncheckedCallLimit(now);
+    if (!limit.has_value())
+        return std::nullopt;
+    return version::leadership::CallPermission { *limit };
+}
+
+//! The successor may call peers as soon as it has read the release of the lease.
+auto Conductor::endCalls() -> asio::awaitable<void>
+{
+    m_handingOver = true;
+    while (!m_parts.settings.peersCheckFences && m_parts.fencedCalls.active() > 0)
+        co_await pauseFor(CALL_END_CHECK);
+}
+
 auto Conductor::waveHooks() -> version::waves::WaveRunnerHooks
 {
     auto hooks = version::waves::WaveRunnerHooks();
@@ -298,6 +323,7 @@
             m_results.addProgress(batch, std::move(items));
         co_await m_results.drain(process::clock::now() + HAND_OVER_TIME);
     }
+    co_await endCalls();
     const auto action = m_leadership.release();
     deactivate("this process is leaving");
     if (action.has_value())
--- a/src/app/node/conductor.h
+++ b/src/app/node/conductor.h
@@ -12,6 +12,7 @@
 #include "process/clock/truetime.h"
 #include "process/settings/machinesettings.h"
 #include "request/rollout/rolloutexecutor.h"
+#include "version/leadership/fencedcalls.h"
 #include "version/leadership/leadership.h"
 #include "version/waves/waverunner.h"
 
@@ -28,6 +29,7 @@
     request::rollout::EngineStates &engines;
     connection::backend::BackendPools &pools;
     const request::serverprotocol::IServerProtocol &protocol;
+    version::leadership::FencedCalls &fencedCalls;
     version::waves::IEngineControl &engineControl;
     process::capacity::IPlatformDuties &duties;
     process::clock::TrueTime &trueTime;
@@ -48,6 +50,9 @@
     auto start() -> void;
     //! A request of \a workspace has begun to run.
     auto countRun(const std::string &workspace) -> void { m_usage.countRun(workspace); }
+    //! Whether a call under \a fence may be written now, and by when it must have ended.
+    auto permitCall(std::uint64_t fence, base::TimePoint now) const
+        -> std::optional<version::leadership::CallPermission>;
     //! Hands the lease back and ends what this machine runs for others. While the log is away
     //! nobody could take over, so that a holder goes on until it is back, or until \a latest.
     auto leave(base::TimePoint latest) -> boost::asio::awaitable<void>;
@@ -63,6 +68,7 @@
     auto deactivate(std::string_view reason) -> void;
     auto openBatch(const version::batch::Batch &batch) -> void;
     auto loadBatch(std::string batchId, std::uint64_t fence) -> boost::asio::awaitable<void>;
+    auto endCalls() -> boost::asio::awaitable<void>;
     auto checkpointLoop() -> boost::asio::awaitable<void>;
     auto waveHooks() -> version::waves::WaveRunnerHooks;
     auto orderableEngines() const -> std::vector<version::waves::OrderableEngine>;
@@ -83,6 +89,7 @@
     bool m_sendingLease = false;
     bool m_departing = false; //!< Takes over nothing new.
     bool m_leaving = false;
+    bool m_handingOver = false; //!< Makes no calls any more that need the lease.
     process::metrics::Gauge &m_inCharge;
 };
 
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -67,8 +67,11 @@
     , m_trueTime(process::clock::wallMilliseconds(), process::clock::now())
     , m_store(m_settings.storeEndpoint, m_settings.appendLimits, m_metrics)
     , m_pools(poolOptions())
-    , m_engineControl(m_settings.node, m_pools)
-    , m_duties(m_settings.cloudEndpoint, m_settings.node)
+    , m_fencedCalls([this](std::uint64_t fence, base::TimePoint now) {
+        return m_conductor.permitCall(fence, now);
+    })
+    , m_engineControl(m_settings.node, m_pools, m_fencedCalls)
+    , m_duties(m_settings.cloudEndpoint, m_settings.node, m_fencedCalls)
     , m_servers({})
     , m_routing(nullptr)
     , m_operatorFollower(
@@ -89,8 +92,8 @@
     , m_batches(m_runtime.context(), m_store, m_incarnation, m_metrics)
     , m_membership(m_runtime.context(), m_store, m_settings, m_incarnation, m_trueTime, m_suspects)
     , m_conductor({ m_runtime.context(), m_store, m_batches, m_servers, m_health, m_engines,
-                    m_pools, m_serverProtocol, m_engineControl, m_duties, m_trueTime, m_metrics,
-                    m_settings, m_incarnation, [this] { return m_routing.load(); },
+                    m_pools, m_serverProtocol, m_fencedCalls, m_engineControl, m_duties, m_trueTime,
+                    m_metrics, m_settings, m_incarnation, [this] { return m_routing.load(); },
                     [this] { return m_namedVersions; } })
     , m_forwarder({ m_runtime.context(), m_servers, m_health, m_pools, m_serverProtocol, m_metrics,
                     m_suspects, m_settings.node, m_settings.zone,
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -58,6 +58,7 @@
     platform::ServerProtocol m_serverProtocol;
     platform::CallProtocol m_callProtocol;
     connection::backend::BackendPools m_pools;
+    version::leadership::FencedCalls m_fencedCalls;
     platform::EngineControl m_engineControl;
     platform::PlatformDuties m_duties;
     process::servers::ServerTable m_servers;
--- a/src/connection/http/ihttpconnection.h
+++ b/src/connection/http/ihttpconnection.h
@@ -40,6 +40,9 @@
     virtual auto keepAlive() const -> base::Duration { return base::Duration(0); }
     //! Ends the connection; a running call returns an error. Call it on the connection's executor.
     virtual auto close() -> void = 0;
+    //! Ends the connection and discards bytes that are unsent or unacknowledged. A peer behind an
+    //! interrupted network would otherwise receive them once the network is back.
+    virtual auto reset() -> void { close(); }
 };
 
 } // namespace nutmegplank::connection::http
--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -130,6 +130,14 @@
     tcp().socket().close(ignored);
 }
 
+template <typename Stream>
+auto HttpConnection<Stream>::reset() -> void
+{
+    auto ignored = beast::error_code();
+    tcp().socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 template class HttpConnection<beast::tcp_stream>;
 template class HttpConnection<beast::ssl_stream<beast::tcp_stream>>;
 
--- a/src/connection/http/internal/httpconnection.h
+++ b/src/connection/http/internal/httpconnection.h
@@ -28,6 +28,7 @@
     auto quiet() -> bool override;
     auto keepAlive() const -> base::Duration override { return m_keepAlive; }
     auto close() -> void override;
+    auto reset() -> void override;
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
--- a/src/platform/enginecontrol.cpp
+++ b/src/platform/enginecontrol.cpp
@@ -65,8 +65,9 @@
     request.headers = { { "Content-Type", "application/json" },
                         { wireheaders::EXPECTED_SERVER, order.engine } };
     request.body = json::serialize(body);
-    const auto result = co_await sendOverPool(m_pools.pool(order.engine, order.endpoint),
-                                              std::move(request), CALL_TIMEOUT);
+    const auto result =
+        co_await sendFenced(m_pools.pool(order.engine, order.endpoint), std::move(request),
+                            CALL_TIMEOUT, Fence { m_calls, order.fence });
     if (!result.response.ok())
         co_return result.sent ? OrderOutcome::NoAnswer : OrderOutcome::NotSent;
     co_return outcomeForStatus(result.response->status);
--- a/src/platform/enginecontrol.h
+++ b/src/platform/enginecontrol.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "connection/backend/backendpools.h"
+#include "version/leadership/fencedcalls.h"
 #include "version/waves/ienginecontrol.h"
 
 namespace nutmegplank::platform {
@@ -12,9 +13,11 @@
 {
 public:
     //! \a holder identifies this machine in its orders.
-    EngineControl(std::string holder, connection::backend::BackendPools &pools)
+    EngineControl(std::string holder, connection::backend::BackendPools &pools,
+                  version::leadership::FencedCalls &calls)
         : m_holder(std::move(holder))
         , m_pools(pools)
+        , m_calls(calls)
     { }
 
     auto order(version::waves::WeightOrder order)
@@ -25,6 +28,7 @@
 private:
     std::string m_holder;
     connection::backend::BackendPools &m_pools;
+    version::leadership::FencedCalls &m_calls;
 };
 
 } // namespace nutmegplank::platform
--- a/src/platform/nodefile.cpp
+++ b/src/platform/nodefile.cpp
@@ -89,6 +89,9 @@
     // "status_s" is how long results are kept.
     settings.resultMemory = readSeconds(bounds, "status_s", settings.resultMemory);
     settings.directoryTtl = readSeconds(bounds, "ttl_max_s", settings.directoryTtl);
+    settings.peersCheckFences = bounds.boolean("enforce_fencing", settings.peersCheckFences);
+    settings.holderTurn =
+        std::chrono::milliseconds(bounds.integer("lease_ms", { 0, 600000 }, 3000));
     settings.settle = std::chrono::milliseconds(bounds.integer("settle_ms", { 0, 600000 }, 1000));
     keepFirstError(problem, bounds);
     keepFirstError(problem, reader);
--- a/src/platform/platformduties.cpp
+++ b/src/platform/platformduties.cpp
@@ -37,8 +37,10 @@
 
 } // namespace
 
-PlatformDuties::PlatformDuties(std::string endpoint, std::string holder)
+PlatformDuties::PlatformDuties(std::string endpoint, std::string holder,
+                               version::leadership::FencedCalls &calls)
     : m_holder(std::move(holder))
+    , m_calls(calls)
 {
     auto options = connection::backend::BackendPoolOptions();
     options.connect.timeout = CONNECT_TIMEOUT;
@@ -55,7 +57,8 @@
                         { wireheaders::LEASE_HOLDER, m_holder },
                         { wireheaders::FENCING_TOKEN, std::to_string(fence) } };
     request.body = std::move(body);
-    const auto result = co_await sendOverPool(m_pool, std::move(request), CALL_TIMEOUT);
+    const auto result =
+        co_await sendFenced(m_pool, std::move(request), CALL_TIMEOUT, Fence { m_calls, fence });
     if (!result.response.ok())
         co_return result.sent ? DutyOutcome::NoAnswer : DutyOutcome::Busy;
     co_return outcomeForStatus(result.response->status);
--- a/src/platform/platformduties.h
+++ b/src/platform/platformduties.h
@@ -5,6 +5,7 @@
 
 #include "connection/backend/backendpool.h"
 #include "process/capacity/iplatformduties.h"
+#include "version/leadership/fencedcalls.h"
 
 namespace nutmegplank::platform {
 
@@ -12,7 +13,8 @@
 class PlatformDuties : public process::capacity::IPlatformDuties
 {
 public:
-    PlatformDuties(std::string endpoint, std::string holder);
+    PlatformDuties(std::string endpoint, std::string holder,
+                   version::leadership::FencedCalls &calls);
 
     auto reportUsage(version::metering::ClosedWindow window, std::uint64_t fence)
         -> boost::asio::awaitable<process::capacity::DutyOutcome> override;
@@ -24,6 +26,7 @@
         -> boost::asio::awaitable<process::capacity::DutyOutcome>;
 
     std::string m_holder;
+    version::leadership::FencedCalls &m_calls;
     std::shared_ptr<connection::backend::BackendPool> m_pool;
 };
 
--- a/src/process/settings/machinesettings.h
+++ b/src/process/settings/machinesettings.h
@@ -25,8 +25,12 @@
     base::Duration grace = std::chrono::seconds(8);  //!< From SIGTERM to SIGKILL.
     base::Duration settle = std::chrono::seconds(1); //!< After a 202 the batch is known everywhere.
     base::Duration resultMemory = std::chrono::seconds(120); //!< Results are kept this long.
-    double cpuShare = 1.0;                                   //!< Of a core.
-    base::Duration directoryTtl = std::chrono::seconds(5);   //!< Longest that counts.
+    //! Engines and the platform refuse calls with an outdated fencing number.
+    bool peersCheckFences = true;
+    //! Two machines must not act as lease holders by turns within this time.
+    base::Duration holderTurn = std::chrono::seconds(3);
+    double cpuShare = 1.0;                                 //!< Of a core.
+    base::Duration directoryTtl = std::chrono::seconds(5); //!< Longest that counts.
 };
 
 } // namespace nutmegplank::process::settings
--- a/src/version/leadership/leadership.cpp
+++ b/src/version/leadership/leadership.cpp
@@ -25,14 +25,14 @@
                       { { "holder", message.holder() },
                         { "fence", record.offset + 1 },
                         { "previous_holder", m_holder } });
+        noteHolderMachine(message.machine(), now);
         m_holder = message.holder();
-        m_holderMachine = message.machine();
         m_holderFence = record.offset + 1;
         m_validUntil = {};
     } else if (message.kind() == record::LEASE_RENEWAL && message.fence() > m_holderFence) {
         // The log no longer retains the claim itself.
+        noteHolderMachine(message.machine(), now);
         m_holder = message.holder();
-        m_holderMachine = message.machine();
         m_holderFence = message.fence();
     } else if (message.fence() != m_holderFence || message.holder() != m_holder) {
         return;
@@ -50,6 +50,13 @@
     m_sentAt.erase(sent);
 }
 
+auto Leadership::noteHolderMachine(const std::string &machine, base::TimePoint now) -> void
+{
+    if (m_holderMachine == m_self.machine && machine != m_self.machine)
+        m_lostAt = now;
+    m_holderMachine = machine;
+}
+
 auto Leadership::makeRecord(record::LeaseRecordKind kind) -> record::LeaseRecord
 {
     auto message = record::LeaseRecord();
@@ -77,7 +84,9 @@
     const auto isOnHolderMachine = m_holderMachine == m_self.machine;
     const auto isFree =
         m_holder.empty() || isOnHolderMachine || now - m_lastRecordAt > m_times.claimAfter;
-    if (!isFree || !mayClaim || now - logAnsweredAt > m_times.maxLogAnswerAge) {
+    const auto pauses =
+        m_lostAt.has_value() && !isOnHolderMachine && now - *m_lostAt < m_times.pauseAfterLoss;
+    if (!isFree || pauses || !mayClaim || now - logAnsweredAt > m_times.maxLogAnswerAge) {
         m_freeSince.reset();
         return std::nullopt;
     }
@@ -98,6 +107,12 @@
     return m_holderFence;
 }
 
+auto Leadership::uncheckedCallLimit(base::TimePoint now) const -> std::optional<base::TimePoint>
+{
+    const auto limit = m_validUntil - m_times.uncheckedCallMargin;
+    return fence(now).has_value() && now < limit ? std::optional(limit) : std::nullopt;
+}
+
 auto Leadership::uncontestedFence() const -> std::optional<std::uint64_t>
 {
     if (m_released || m_holder != m_self.process)
--- a/src/version/leadership/leadership.h
+++ b/src/version/leadership/leadership.h
@@ -25,6 +25,12 @@
     //! Additional time this process waits before it claims a free lease, so that other processes
     //! can claim it first.
     base::Duration claimDelay { 0 };
+    //! A machine whose lease another one has taken over does not claim it for this long. Needed if
+    //! peers do not check fencing numbers: they would see holders act by turns.
+    base::Duration pauseAfterLoss { 0 };
+    //! A call to a peer that does not check fencing numbers has ended this long before the term
+    //! does. Covers the delay of the network; claimAfter adds the same again and more.
+    base::Duration uncheckedCallMargin = std::chrono::milliseconds(100);
     //! Maximum age of the log's last answer for a claim; otherwise the claimant's view may be
     //! stale.
     base::Duration maxLogAnswerAge = std::chrono::milliseconds(1300);
@@ -63,6 +69,9 @@
         -> std::optional<LeaseAction>;
     //! The fencing number while this process holds a valid lease. Call it right before each order.
     auto fence(base::TimePoint now) const -> std::optional<std::uint64_t>;
+    //! Time by which a call to a peer that does not check fencing numbers must have ended; nullopt
+    //! if it must not begin. Call it right before the bytes are written.
+    auto uncheckedCallLimit(base::TimePoint now) const -> std::optional<base::TimePoint>;
     //! The fencing number of this process until another process claims the lease, even if its term
     //! has expired because the log is unavailable. Sufficient to continue work in progress.
     auto uncontestedFence() const -> std::optional<std::uint64_t>;
@@ -73,6 +82,7 @@
     auto holder() const -> const std::string & { return m_holder; }
 
 private:
+    auto noteHolderMachine(const std::string &machine, base::TimePoint now) -> void;
     auto makeRecord(record::LeaseRecordKind kind) -> record::LeaseRecord;
 
     Candidate m_self;
@@ -87,6 +97,8 @@
     base::TimePoint m_lastAttempt {};
     std::optional<base::TimePoint> m_freeSince; //!< Time since which the lease is known to be free.
     base::TimePoint m_validUntil {};
+    //! Time when another machine was seen to take the lease over from this one.
+    std::optional<base::TimePoint> m_lostAt;
     bool m_released = false;
 };
 
--- a/src/version/leadership/tests/leadership_tests.cpp
+++ b/src/version/leadership/tests/leadership_tests.cpp
@@ -1,6 +1,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <tuple>
+
 #include "version/leadership/leadership.h"
 
 using namespace nutmegplank;
@@ -185,8 +189,10 @@
         processes.emplace_back(name);
     auto now = START;
     auto highest = std::uint64_t(0);
-    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        400, rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 100)));
+    const auto steps =
+        *rc::gen::resize(rc::kNominalSize,
+                         rc::gen::container<std::vector<std::pair<int, int>>>(
+                             400, rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 100))));
     for (const auto &[index, random] : steps) {
         now += std::chrono::milliseconds(random);
         auto &process = processes[static_cast<std::size_t>(index)];
@@ -246,3 +252,134 @@
     step(other, log, START + 1950ms);
     EXPECT_EQ(log.records.size(), 2U);
 }
+
+TEST(Leadership, Leadership_MachineThatLostTheLease_ClaimsOnlyAfterThePause)
+{
+    auto log = FakeLog();
+    auto times = LeaseTimes();
+    times.pauseAfterLoss = 3s;
+    auto first = Process("a", times);
+    auto second = Process("b", times);
+    first.readAll(log, START);
+    step(first, log, START);
+    second.readAll(log, START);
+    second.readAll(log, START + 2s);
+    step(second, log, START + 2s);
+    first.readAll(log, START + 2s);
+    second.readAll(log, START + 2s);
+    log.append(*second.lease.release());
+    first.readAll(log, START + 2100ms);
+    EXPECT_FALSE(first.lease.next(START + 2100ms, START + 2100ms, true).has_value());
+    EXPECT_FALSE(first.lease.next(START + 4900ms, START + 4900ms, true).has_value());
+    EXPECT_TRUE(first.lease.next(START + 5100ms, START + 5100ms, true).has_value());
+}
+
+TEST(Leadership, Leadership_UncheckedCall_EndsBeforeTheTerm)
+{
+    auto log = FakeLog();
+    auto holder = Process("a");
+    holder.readAll(log, START);
+    step(holder, log, START);
+    holder.readAll(log, START + 5ms);
+    const auto term = LeaseTimes().term;
+    EXPECT_EQ(holder.lease.uncheckedCallLimit(START + 5ms),
+              START + term - LeaseTimes().uncheckedCallMargin);
+    EXPECT_FALSE(holder.lease.uncheckedCallLimit(START + term - 50ms).has_value());
+    EXPECT_TRUE(holder.lease.fence(START + term - 50ms).has_value());
+}
+
+namespace {
+
+//! A call as its peer sees it.
+struct ArrivedCall
+{
+    base::TimePoint at;
+    std::uint64_t fence = 0;
+    std::string machine;
+};
+
+constexpr auto NETWORK_DELAY = std::chrono::milliseconds(80);
+constexpr auto RESTART_TIME = std::chrono::milliseconds(200);
+constexpr auto HOLDER_TURN = std::chrono::seconds(3);
+
+auto checkOrder(std::vector<ArrivedCall> calls) -> void
+{
+    std::ranges::stable_sort(calls, {}, &ArrivedCall::at);
+    auto highest = std::uint64_t(0);
+    auto lastOf = std::map<std::string, base::TimePoint>();
+    auto previous = std::string();
+    for (const auto &call : calls) {
+        RC_ASSERT(call.fence >= highest);
+        highest = call.fence;
+        const auto last = lastOf.find(call.machine);
+        if (previous != call.machine && last != lastOf.end())
+            RC_ASSERT(call.at - last->second > HOLDER_TURN);
+        lastOf[call.machine] = call.at;
+        previous = call.machine;
+    }
+}
+
+} // namespace
+
+//! Peers that check no fencing numbers: holders are suspended, lose appends, release the lease or
+//! restart, and the network holds each call back for as long as the call may last. Peers must still
+//! see fencing numbers that never decrease, and no holders that act by turns.
+RC_GTEST_PROP(Leadership, Leadership_UncheckedCallsOnASlowNetwork_ArriveInOrder, ())
+{
+    auto log = FakeLog();
+    auto times = LeaseTimes();
+    times.pauseAfterLoss = HOLDER_TURN;
+    const auto machines = std::vector<std::string> { "a", "b", "c" };
+    auto processes = std::vector<Process>();
+    auto startsAt = std::vector<base::TimePoint>(machines.size(), START);
+    for (const auto &machine : machines)
+        processes.emplace_back(Candidate { machine + "#0", machine }, times);
+    auto calls = std::vector<ArrivedCall>();
+    auto incarnation = 0;
+    auto now = START;
+    const auto steps =
+        *rc::gen::resize(rc::kNominalSize,
+                         rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+                             600,
+                             rc::gen::tuple(rc::gen::inRange(0, 3), rc::gen::inRange(0, 100),
+                                            rc::gen::inRange(0, 1000))));
+    for (const auto &[number, random, delay] : steps) {
+        now += std::chrono::milliseconds(random);
+        const auto index = static_cast<std::size_t>(number);
+        auto &process = processes[index];
+        if (now < startsAt[index])
+            continue;
+        if (random % 7 != 0)
+            process.readAll(log, now);
+        const auto action = process.lease.next(now, process.answeredAt, true);
+        if (action.has_value() && random % 5 != 0)
+            log.append(*action);
+        const auto limit = process.lease.uncheckedCallLimit(now);
+        if (limit.has_value()) {
+            const auto heldBack = now + std::chrono::milliseconds(delay);
+            calls.push_back({ std::min<base::TimePoint>(heldBack, *limit) + NETWORK_DELAY,
+                              *process.lease.fence(now), machines[index] });
+        }
+        if (random == 98 || random == 97) {
+            // A release waits for the calls in progress; a killed process takes them with it.
+            for (const auto &call : calls) {
+                if (random == 97 && call.machine == machines[index])
+                    now = std::max(now, call.at);
+            }
+            const auto release = process.lease.release();
+            if (random == 97 && release.has_value())
+                log.append(*release);
+            for (auto &call : calls) {
+                if (random == 98 && call.machine == machines[index])
+                    call.at = std::min<base::TimePoint>(call.at, now + NETWORK_DELAY);
+            }
+            process = Process(Candidate { machines[index] + "#" + std::to_string(++incarnation),
+                                          machines[index] },
+                              times);
+            startsAt[index] = now + RESTART_TIME;
+        }
+        if (random == 99)
+            now += 3s;
+    }
+    checkOrder(std::move(calls));
+}
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+from platformworld.calls import check_unchecked_calls
 from platformworld.world import BIN, HOST, KEY, World, eventually
 
 #: Bounds of the users' pages, in seconds.
@@ -25,7 +26,9 @@
         self.addCleanup(self.finish)
 
     def options(self):
-        return {"nodes": 1} if self._testMethodName == "test_settings_that_are_wrong_end_the_start" else {}
+        return {"test_settings_that_are_wrong_end_the_start": {"nodes": 1},
+                "test_peers_that_check_no_fences_see_holders_in_order": {"peers_check_fences": False},
+                }.get(self._testMethodName, {})
 
     def finish(self):
         failed = any(error for _, error in getattr(self._outcome, "errors", []) if error)
@@ -267,6 +270,38 @@
         windows = sorted(figures)
         self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
 
+    def test_peers_that_check_no_fences_see_holders_in_order(self):
+        """The holder is frozen, killed and stopped in turn while orders and usage reports are due all the time."""
+        def frozen(node):
+            node.signal(signal.SIGSTOP)
+            eventually(lambda: self.world.holder() is not node, 8, "another holder")
+            node.signal(signal.SIGCONT)
+
+        def killed(node):
+            node.kill()
+            eventually(lambda: self.world.holder() is not node, 8, "another holder")
+            node.start()
+
+        def stopped(node):
+            node.signal(signal.SIGTERM)
+            node.popen.wait(GRACE)
+            node.start()
+
+        version = 1
+        for end_term in (frozen, stopped, killed, frozen, stopped, killed):
+            version += 1
+            self.world.name_version(version)
+            time.sleep(0.3)
+            holder = self.world.holder()
+            reader = next(node for node in self.world.nodes if node is not holder)
+            self.assertEqual(reader.call("POST", "/orders/1")[0], 200)
+            end_term(holder)
+        eventually(lambda: all(engine.version == version for engine in self.world.engines), 10, "the last version")
+        self.assertGreater(len({fence for _, fence, _ in self.world.usage_holders}), 2)
+        self.assertEqual(check_unchecked_calls("the platform", self.world.usage_holders), [])
+        for engine in self.world.engines:
+            self.assertEqual(check_unchecked_calls(engine.name, engine.holders), [])
+
     def test_settings_that_are_wrong_end_the_start(self):
         path = self.world.folder / "wrong.json"
         settings = self.world.nodes[0].settings()
--- a/tests/platformworld/httpd.py
+++ b/tests/platformworld/httpd.py
@@ -24,6 +24,8 @@
     body: bytes = b""
     #: An async generator of chunks in place of the body.
     chunks: object = None
+    #: Seconds after which a second copy of the answer is written to the same connection.
+    late_copy: float | None = None
 
 
 class Silence(Exception):
@@ -123,12 +125,20 @@
         await asyncio.gather(closing, return_exceptions=True)
         return True
 
+    @staticmethod
+    def _write_copy(writer, whole: bytes) -> None:
+        if not writer.is_closing():
+            writer.write(whole)
+
     async def _write(self, writer, answer: Answer) -> None:
         lines = [f"HTTP/1.1 {answer.status} X"] + [f"{name}: {value}" for name, value in answer.headers.items()]
         if answer.chunks is None:
             lines.append(f"Content-Length: {len(answer.body)}")
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + answer.body)
+            whole = "\r\n".join(lines).encode() + b"\r\n\r\n" + answer.body
+            writer.write(whole)
             await writer.drain()
+            if answer.late_copy is not None:
+                asyncio.get_running_loop().call_later(answer.late_copy, self._write_copy, writer, whole)
             return
         lines.append("Transfer-Encoding: chunked")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -67,6 +67,42 @@
         return Answer(200, self.stamp(request), b"done:" + request.body)
 
 
+class ScorerBackend(Backend):
+    """Rates texts. Each call gets a stamp of its own; `work` is in seconds. `fail_for` names bodies that always get
+    500, `lose_next` counts calls that run and lose their answer, `late_copy` is as of an Answer."""
+
+    def __init__(self, loop: Loop, store, service: str, name: str, zone: str) -> None:
+        self.work, self.lose_next, self.late_copy = 0.02, 0, None
+        self.fail_for: set[bytes] = set()
+        self.running = self.most_running = 0
+        super().__init__(loop, store, service, name, zone)
+
+    def record(self) -> dict:
+        return {**super().record(), "slots": 6}
+
+    async def serve(self, request: Request) -> Answer:
+        stamp = f"{self.name}.{len(self.requests)}"
+        run = {"id": request.headers.get("x-request-id"), "headers": request.headers, "path": request.path,
+               "body": request.body, "at": time.monotonic(), "stamp": stamp, "status": None}
+        self.requests.append(run)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            # Like a backend server: work ends at the caller's time limit.
+            time_limit = int(request.headers["x-deadline-ms"]) / 1000
+            await asyncio.sleep(min(self.work, time_limit))
+            if self.work > time_limit:
+                return Answer(504, {"X-Request-Id": run["id"], "X-Server-Stamp": stamp})
+        finally:
+            self.running -= 1
+        if self.lose_next > 0:
+            self.lose_next -= 1
+            raise Reset
+        run["status"] = 500 if request.body in self.fail_for else 200
+        headers = {"X-Request-Id": run["id"], "X-Server-Stamp": stamp}
+        return Answer(run["status"], headers, b"rated", late_copy=self.late_copy)
+
+
 class EngineBackend(Backend):
     """Streams `events` events an item; each names the weight version of the moment."""
 
@@ -77,8 +113,11 @@
         self.past_orders: list[list[dict]] = []  #: Of earlier incarnations.
         self.fence, self.loading, self.load_time = 0, False, 0.2
         self.fail_next, self.running = 0, 0
+        self.last_event_at: dict[str, float] = {}  #: By item.
         self.failures: collections.Counter = collections.Counter()  #: By request.
-        self.holders: list[tuple[int, str]] = []  #: Who gave orders under which fencing number, refused ones too.
+        self.checks_fences = True
+        #: When, under which fencing number and by whom an order came, refused ones too.
+        self.holders: list[tuple[float, int, str]] = []
         super().__init__(loop, store, service, name, zone)
 
     def restart(self) -> None:
@@ -117,13 +156,14 @@
                 await asyncio.sleep(self.pace)
                 change = f"x-weight-versions: {self.version}\n" if self.version != version else ""
                 version = self.version
+                self.last_event_at[item] = time.monotonic()
                 yield f"{change}id: {number}\ndata: {item}/{number}/v{version}\n\n".encode()
         finally:
             self.running -= 1
 
     async def order(self, body: dict) -> Answer:
-        self.holders.append((body["fencing_token"], body["holder"]))
-        if body["fencing_token"] < self.fence:
+        self.holders.append((time.monotonic(), body["fencing_token"], body["holder"]))
+        if self.checks_fences and body["fencing_token"] < self.fence:
             return Answer(412)
         if self.loading or body.get("expected", len(self.orders)) != len(self.orders):
             return Answer(409)
--- a/tests/platformworld/world.py
+++ b/tests/platformworld/world.py
@@ -14,7 +14,7 @@
 import time
 
 from platformworld.httpd import Answer, Loop, Request, Server
-from platformworld.servers import EngineBackend, PlainBackend
+from platformworld.servers import EngineBackend, PlainBackend, ScorerBackend
 from platformworld.store import Store
 
 BIN = pathlib.Path(os.environ.get("NUTMEGPLANK_BIN", pathlib.Path(__file__).parents[2] / "build" / "bin"))
@@ -49,7 +49,8 @@
                 "listen": {name: f"{self.ip}:{port}" for name, port in self.ports.items()},
                 "limits": {"cpu_share": 0.5},
                 "bounds": {"usage_window_s": WINDOW_SECONDS, "grace_s": 8, "settle_ms": 1000, "status_s": 120,
-                           "ttl_max_s": 5},
+                           "ttl_max_s": 5, "lease_ms": 3000,
+                           "enforce_fencing": self.world.peers_check_fences},
                 "platform": {"address": self.world.store_endpoint(self), "parts": 4},
                 "cloud": {"address": self.world.cloud_server.endpoint}}
 
@@ -122,20 +123,25 @@
 class World:
     RETENTION_SECONDS = 30
 
-    def __init__(self, nodes: int = 3, engines: int = 3, plains: int = 2) -> None:
+    def __init__(self, nodes: int = 3, engines: int = 3, plains: int = 2, scorers: int = 0,
+                 peers_check_fences: bool = True) -> None:
+        self.peers_check_fences = peers_check_fences
         self.net, self.claim = claim_network()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="nutmegplank-"))
         self.loop, self.store = Loop(), Store()
         self.store_server = Server(self.loop, "127.0.0.1", 0, self.store.handle).start()
         self.usage: list[tuple[int, int, dict]] = []
-        self.usage_holders: list[tuple[int, str]] = []
+        self.usage_holders: list[tuple[float, int, str]] = []
         self.cloud_server = Server(self.loop, "127.0.0.1", 0, self.cloud).start()
         self.config_version, self.keys = 0, [KEY]
         self.configure()
         self.engines = [EngineBackend(self.loop, self.store, "quote", f"i-e{number}", "a", MODEL)
                         for number in range(engines)]
+        for engine in self.engines:
+            engine.checks_fences = peers_check_fences
         self.plains = [PlainBackend(self.loop, self.store, "desk", f"i-p{number}", "a") for number in range(plains)]
-        for server in self.engines + self.plains:
+        self.scorers = [ScorerBackend(self.loop, self.store, "book", f"i-s{number}", "a") for number in range(scorers)]
+        for server in self.engines + self.plains + self.scorers:
             server.announce()
         self.nodes = [Node(self, number) for number in range(nodes)]
         self.before_start()
@@ -161,9 +167,11 @@
             "version": self.config_version,
             "routes": [{**route, "name": "orders", "path_prefix": "/orders/", "kind": "safe", "service": "desk"},
                        {**route, "name": "once", "path_prefix": "/once/", "kind": "unsafe", "service": "desk"},
+                       {**route, "name": "checks", "path_prefix": "/checks/", "kind": "safe", "service": "book",
+                        "timeout_ms": 2000, "target_latency_ms": 400, "max_attempts": 4},
                        {**route, "name": "steps", "path_prefix": "/steps/", "kind": "rollout", "service": "quote",
                         "retention_s": self.RETENTION_SECONDS, "result_deadline_ms": 7500, "max_attempts": 3}],
-            "services": [{"name": "desk", "max_connections": 64},
+            "services": [{"name": "desk", "max_connections": 64}, {"name": "book", "max_connections": 64},
                          {"name": "quote", "max_connections": 64,
                           "engine": {"slots": 8, "kv_cache_tokens": 40000, "stride": 1, "models": [{"name": MODEL}]}}],
             "tenants": [{"name": "amend", "api_keys": self.keys}], "limits": {"idle_timeout_ms": 15000}, **changes}
@@ -177,7 +185,7 @@
         if request.path == "/usage":
             fence = int(request.headers["x-fencing-token"])
             self.usage.append((fence, body["window_id"], body["counts"]))
-            self.usage_holders.append((fence, request.headers.get("x-lease-holder", "")))
+            self.usage_holders.append((time.monotonic(), fence, request.headers.get("x-lease-holder", "")))
         return Answer(200)
 
     def holder(self) -> Node | None:
@@ -193,9 +201,17 @@
         return json.dumps({"step": 1, "model": MODEL, "min_version": min_version, "group_count": items, "items": [
             {"id": f"item{number}", "path": f"/steps/{number}",
              "headers": {"X-Model": MODEL, "X-Token-Usage": "20,40", "X-Length-Hint": "6"},
-             "body": base64.b64encode(b"prompt%d" % number).decode(), "tokens": 60, "group": f"g{number}"}
+             "body": base64.b64encode(b"prompt%d" % number).decode(), "tokens": 60, "group": f"g{number}",
+             **self.scorer(number)}
             for number in range(items)]}).encode()
 
+    def scorer(self, number: int) -> dict:
+        """Items are scored in worlds that have scorers."""
+        if not self.scorers:
+            return {}
+        return {"scorer": {"id": f"score{number}", "host": HOST, "path": f"/checks/{number}",
+                           "body": base64.b64encode(b"check%d" % number).decode()}}
+
     def submit(self, node: Node, batch: str, items: int, min_version: int = 1, timeout: float = 10) -> int:
         return node.call("POST", f"/steps/{batch}", self.batch(items, min_version),
                          headers={"X-Request-Id": batch, "X-Deadline-Ms": "12000"}, timeout=timeout)[0]
@@ -216,7 +232,7 @@
     def close(self) -> None:
         for node in self.nodes:
             node.kill()
-        for server in [*self.engines, *self.plains]:
+        for server in [*self.engines, *self.plains, *self.scorers]:
             server.stop()
         self.store_server.stop()
         self.cloud_server.stop()
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,7 +26,7 @@
 
 
 def play(seed: int, faults: list[plan.Fault], nodes: int) -> dict:
-    world = SoakWorld(nodes=nodes, engines=3, plains=2)
+    world = SoakWorld(nodes=nodes, engines=3, plains=2, peers_check_fences=plan.peers_check_fences(seed))
     for engine in world.engines:
         engine.events, engine.pace = Trainer.EVENTS, 0.06
     for server in world.plains:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -19,6 +19,8 @@
 PLANNED_ONLY_EVERY = 4
 #: How many faults are met by another one on the same machine or server.
 COMPANION_SHARE = 0.4
+#: Every so many seeds the platform and the engines check no fencing numbers.
+UNCHECKED_EVERY = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,6 +41,10 @@
     return seed % PLANNED_ONLY_EVERY == 0
 
 
+def peers_check_fences(seed: int) -> bool:
+    return seed % UNCHECKED_EVERY == 0
+
+
 def draw(seed: int, seconds: float) -> list[Fault]:
     """The same faults for the same seed and length. Some meet a second one on the same machine or server, since much
     goes wrong only during a recovery."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,6 +5,7 @@
 import collections
 import json
 
+from platformworld.calls import check_unchecked_calls
 from platformworld.world import World, eventually
 from soak.callers import LOST_SECONDS, OrderCaller, Trainer
 from soak.soakworld import SoakWorld
@@ -84,8 +85,12 @@
     for _, window, counts in world.usage:
         if figures.setdefault(window, counts) != counts:
             found.append(f"ONE: window {window} was reported as {figures[window]} and as {counts}")
+    if not world.peers_check_fences:
+        found += check_unchecked_calls("the platform", world.usage_holders)
+        for engine in world.engines:
+            found += check_unchecked_calls(engine.name, engine.holders)
     holders: dict[int, str] = {}
-    for fence, holder in world.usage_holders + [pair for engine in world.engines for pair in engine.holders]:
+    for _, fence, holder in world.usage_holders + [call for engine in world.engines for call in engine.holders]:
         if holders.setdefault(fence, holder) != holder:
             found.append(f"ONE: {holders[fence]} and {holder} both used the fencing number {fence}")
     for engine in world.engines:
--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -22,12 +22,12 @@
 class SoakWorld(World):
     RETENTION_SECONDS = 120
 
-    def __init__(self, nodes: int, engines: int, plains: int) -> None:
+    def __init__(self, nodes: int, engines: int, plains: int, **options) -> None:
         self.problems: list[str] = []
         self.clock_files: dict[str, str] = {}
         self.intended_stops: set[str] = set()
         self.withdrawn_keys: list[tuple[float, str]] = []
-        super().__init__(nodes, engines, plains)
+        super().__init__(nodes, engines, plains, **options)
 
     def before_start(self) -> None:
         routes = [{"name": f"store.{node.name}", "listen": self.store_endpoint(node),
