Score finished items before they are listed

Change: request/scoring requests the score of each complete text through the route of the scorer's host and path. Complete texts without a score are kept as progress, so that another holder only scores them.

--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -73,6 +73,17 @@
     return http::headerValue(item.headers, name);
 }
 
+auto readScorer(const json::object &object) -> std::optional<version::batch::Scorer>
+{
+    const auto id = stringField(object, "id");
+    const auto host = stringField(object, "host");
+    const auto path = stringField(object, "path");
+    const auto body = base::decodeBase64(stringField(object, "body").value_or(""));
+    if (!id.has_value() || !host.has_value() || !path.has_value() || !body.has_value())
+        return std::nullopt;
+    return version::batch::Scorer { *id, *host, *path, *body };
+}
+
 auto readItem(const json::object &object) -> std::optional<version::batch::Item>
 {
     auto item = version::batch::Item();
@@ -85,6 +96,11 @@
     item.path = *path;
     item.body = *body;
     item.group = stringField(object, "group").value_or("");
+    if (const auto *scorer = objectField(object, "scorer")) {
+        item.scorer = readScorer(*scorer);
+        if (!item.scorer.has_value())
+            return std::nullopt;
+    }
     // "tokens" is the prompt length plus the maximum output length.
     item.tokens = unsignedField(object, "tokens").value_or(0);
     if (const auto *headers = objectField(object, "headers")) {
@@ -154,7 +170,7 @@
         const auto *entry = value.if_object();
         auto item = entry == nullptr ? std::nullopt : readItem(*entry);
         if (!item.has_value())
-            return malformedSubmission(call, "an item needs id, path and a body in base64");
+            return malformedSubmission(call, "an item or its scorer is not valid");
         submission.items.push_back(std::move(*item));
     }
     return submission;
@@ -170,6 +186,8 @@
         entry["state"] = result.lost ? "lost" : "completed";
         entry["text"] = result.text;
         entry["versions"] = json::array(result.versions.begin(), result.versions.end());
+        if (!result.score.empty())
+            entry["score"] = result.score;
         list.push_back(std::move(entry));
     }
     auto body = json::object();
--- a/src/platform/serverprotocol.cpp
+++ b/src/platform/serverprotocol.cpp
@@ -29,6 +29,8 @@
     http::removeHeader(request.headers, wireheaders::WORKSPACE);
     if (!envelope.workspace.empty())
         setHeader(request, wireheaders::WORKSPACE, envelope.workspace);
+    if (!envelope.requestId.empty())
+        setHeader(request, wireheaders::REQUEST_ID, envelope.requestId);
     if (envelope.urgency.has_value())
         setHeader(request, wireheaders::REQUEST_PRIORITY, std::to_string(*envelope.urgency));
     if (envelope.lastEvent.has_value())
@@ -45,7 +47,8 @@
     metadata.requestId = http::headerValue(head.headers, wireheaders::REQUEST_ID);
     metadata.wrongServer = head.status == STATUS_MISDIRECTED;
     metadata.notRun = !http::headerValue(head.headers, wireheaders::NOT_EXECUTED).empty();
-    metadata.fromServer = !http::headerValue(head.headers, wireheaders::SERVER_STAMP).empty();
+    metadata.stamp = http::headerValue(head.headers, wireheaders::SERVER_STAMP);
+    metadata.fromServer = !metadata.stamp.empty();
     const auto version = http::headerValue(head.headers, wireheaders::WEIGHT_VERSION);
     auto number = std::uint64_t(0);
     const auto [end, error] =
--- a/src/platform/tests/callprotocol_tests.cpp
+++ b/src/platform/tests/callprotocol_tests.cpp
@@ -61,12 +61,31 @@
     EXPECT_EQ(headerValue(item.headers, "X-Request-Id"), "i1");
 }
 
+TEST(CallProtocol, CallProtocol_Scorer_IsReadAndItsScoreWritten)
+{
+    const auto protocol = CallProtocol();
+    const auto call = protocol.readCall(makeRequest("POST", "/p/r1"));
+    const auto batch =
+        protocol.readSubmission(call, R"({"items":[{"id":"i1","path":"/p/1","body":"",
+      "scorer":{"id":"s1","host":"h.example","path":"/q/5e07","body":"3q2+7w=="}}]})");
+    ASSERT_TRUE(batch.ok()) << batch.status();
+    ASSERT_TRUE(batch->items.front().scorer.has_value());
+    EXPECT_EQ(batch->items.front().scorer->id, "s1");
+    EXPECT_EQ(batch->items.front().scorer->path, "/q/5e07");
+    EXPECT_EQ(batch->items.front().scorer->body, "\xde\xad\xbe\xef");
+    const auto page = protocol.writeResults(1, 0, { { 0, "i1", false, "t", { 2 }, "3e1b.07" } });
+    EXPECT_NE(page.body.find(R"("score":"3e1b.07")"), std::string::npos);
+    const auto unscored = protocol.writeResults(1, 0, { { 0, "i1", false, "t", { 2 } } });
+    EXPECT_EQ(unscored.body.find("score"), std::string::npos);
+}
+
 TEST(CallProtocol, CallProtocol_MalformedSubmission_IsRejectedAsAWhole)
 {
     const auto protocol = CallProtocol();
     const auto call = protocol.readCall(makeRequest("POST", "/p/r1"));
     for (const auto *body : { "", "{}", R"({"items":[]})", R"({"items":[{"id":"i"}]})",
-                              R"({"items":[{"id":"i","path":"/p","body":"%%%%"}]})" })
+                              R"({"items":[{"id":"i","path":"/p","body":"%%%%"}]})",
+                              R"({"items":[{"id":"i","path":"/p","scorer":{"id":"s"}}]})" })
         EXPECT_FALSE(protocol.readSubmission(call, body).ok()) << body;
 }
 
--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -32,6 +32,19 @@
     }
 }
 
+auto assignGroups(OpenBatch &batch) -> void
+{
+    auto groups = std::map<std::string_view, std::uint32_t>();
+    for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
+        const auto number = static_cast<std::uint32_t>(groups.size());
+        auto &item = batch.items[index];
+        item.group = groups.try_emplace(batch.submission->items[index].group, number).first->second;
+        batch.unfinishedInGroup.resize(groups.size());
+        if (item.state != ItemState::Done)
+            ++batch.unfinishedInGroup[item.group];
+    }
+}
+
 auto restoreProgress(OpenBatch &batch, const std::vector<version::batch::Progress> &progress)
     -> std::size_t
 {
@@ -40,10 +53,14 @@
         if (saved.item >= batch.items.size() || batch.items[saved.item].state == ItemState::Done)
             continue;
         auto &item = batch.items[saved.item];
-        if (saved.events <= item.transcript->eventCount())
+        const auto completes = saved.complete && item.state != ItemState::Scoring;
+        if (saved.events <= item.transcript->eventCount() && !completes)
             continue;
         item.transcript->restore(saved.lastEvent, saved.events, saved.text, saved.versions);
         item.savedEvents = saved.events;
+        item.savedComplete = saved.complete;
+        if (saved.complete)
+            item.state = ItemState::Scoring;
         ++restored;
     }
     return restored;
@@ -53,6 +70,8 @@
 {
     const auto &source = batch.submission->items[index];
     const auto &item = batch.items[index];
+    if (item.state == ItemState::Scoring)
+        return 0;
     const auto maxOutput =
         source.tokens > source.promptTokens ? source.tokens - source.promptTokens : 0;
     return expectedRemainingTokens(OutputEstimateInput {
--- a/src/request/rollout/openbatch.h
+++ b/src/request/rollout/openbatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
 enum class ItemState {
     Waiting,
     Running,
+    Scoring, //!< The text is complete; its score is being requested.
     Done,
 };
 
@@ -30,7 +32,10 @@
     std::string engine;                             //!< Runs the item, or ran it last.
     std::string avoidedEngine;                      //!< The next run prefers any other engine.
     FailureCounts failureCounts;
+    std::string score;               //!< Set when the scorer has answered.
     std::uint32_t savedEvents = 0;   //!< In the progress last returned for storage.
+    bool savedComplete = false;      //!< That progress said that the text is complete.
+    std::uint32_t group = 0;         //!< Index into OpenBatch::unfinishedInGroup.
     std::uint32_t sampledEvents = 0; //!< Of the current run, at the last interval sample.
     base::TimePoint sampledAt {};    //!< Time of the last event in that sample.
     base::TimePoint notBefore {};    //!< Earliest start of the next run.
@@ -42,6 +47,7 @@
     std::string id;
     SubmissionPtr submission;
     std::vector<OpenItem> items;
+    std::vector<std::uint32_t> unfinishedInGroup; //!< Items without a result, by group.
     base::TimePoint dueAt {};     //!< Deadline by which its results should be complete.
     std::int64_t expiresAtMs = 0; //!< End of the retention time, in milliseconds since 1970.
     version::routing::RoutingTablePtr table; //!< Owns the routes of the items.
@@ -57,8 +63,11 @@
 
 //! Sets the items' routes from \a table. Does nothing if the batch already uses \a table.
 auto resolveRoutes(OpenBatch &batch, version::routing::RoutingTablePtr table) -> void;
+//! Sets the items' groups and counts the unfinished items of each.
+auto assignGroups(OpenBatch &batch) -> void;
 //! Restores the text of unfinished items that an earlier lease holder stored, where it has more
-//! events than the current text. Returns the number of restored items.
+//! events than the current text. Items whose text is complete are in ItemState::Scoring
+//! afterwards. Returns the number of restored items.
 auto restoreProgress(OpenBatch &batch, const std::vector<version::batch::Progress> &progress)
     -> std::size_t;
 //! Estimated number of output tokens that the item still has to generate.
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -31,6 +31,7 @@
 RolloutExecutor::RolloutExecutor(ExecutorDependencies dependencies)
     : m_dependencies(std::move(dependencies))
     , m_loadTracker(m_dependencies.servers, m_dependencies.health, m_dependencies.engines)
+    , m_scoring(scoringDependencies())
     , m_timer(m_dependencies.context)
     , m_completed(m_dependencies.metrics.counter("nutmegplank_items_total", "Items finished.",
                                                  { { "outcome", "completed" } }))
@@ -68,6 +69,7 @@
     logging::info(
         "rollout.stopped",
         { { "reason", reason }, { "runs", cancelledRuns }, { "batches", m_batches.size() } });
+    m_scoring.cancelAll();
     m_batches.clear();
     m_timer.cancel();
 }
@@ -105,6 +107,7 @@
     abandonExpiredItems();
     monitorRuns();
     place();
+    m_scoring.dispatch(*table);
 }
 
 auto RolloutExecutor::addBatch(const Batch &batch, SubmissionPtr items,
@@ -132,6 +135,7 @@
             item.state = ItemState::Done;
     }
     resolveRoutes(openBatch, table);
+    assignGroups(openBatch);
     const auto resumed = restoreProgress(openBatch, progress);
     logging::info("rollout.batch_opened",
                   { { "batch", head.id },
@@ -142,7 +146,11 @@
                     { "listed", batch.listedCount },
                     { "resumed", resumed },
                     { "age_ms", age.count() } });
-    m_batches.emplace(head.id, std::move(openBatch));
+    auto &added = m_batches.emplace(head.id, std::move(openBatch)).first->second;
+    for (auto index = std::size_t(0); index < added.items.size(); ++index) {
+        if (added.items[index].state == ItemState::Scoring)
+            startScoring(added, index);
+    }
     wake();
 }
 
@@ -167,6 +175,7 @@
           { "running", running },
           { "waiting", waiting },
           { "late_ms", base::toMilliseconds(m_dependencies.now() - found->second.dueAt) } });
+    m_scoring.cancelBatch(id);
     m_batches.erase(found);
     wake();
 }
@@ -179,13 +188,17 @@
         for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
             auto &item = batch.items[index];
             const auto &transcript = *item.transcript;
-            if (item.state == ItemState::Done || transcript.empty()
-                || transcript.eventCount() < item.savedEvents + minNewEvents)
+            if (item.state == ItemState::Done || transcript.empty())
+                continue;
+            const auto complete = item.state == ItemState::Scoring;
+            const auto newlyComplete = complete && !item.savedComplete;
+            if (transcript.eventCount() < item.savedEvents + minNewEvents && !newlyComplete)
                 continue;
             item.savedEvents = transcript.eventCount();
+            item.savedComplete = complete;
             progressByBatch[id].push_back({ static_cast<std::uint32_t>(index), transcript.lastId(),
                                             transcript.eventCount(), transcript.text(),
-                                            transcript.versions() });
+                                            transcript.versions(), complete });
         }
     }
     return progressByBatch;
@@ -220,7 +233,8 @@
     for (auto &[id, batch] : m_batches) {
         const auto expired = wallClockMs >= batch.expiresAtMs;
         for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-            if (batch.items[index].state != ItemState::Waiting)
+            const auto state = batch.items[index].state;
+            if (state != ItemState::Waiting && state != ItemState::Scoring)
                 continue;
             if (expired)
                 finishItem(batch, index, true, "retention time of the route has expired");
@@ -455,6 +469,11 @@
     const auto attemptLimit =
         item.route == nullptr ? std::numeric_limits<std::uint32_t>::max() : item.route->maxAttempts;
     const auto decision = decideNextStep(outcome.end, attemptLimit, item.failureCounts);
+    if (decision.step == NextStep::FinishCompleted
+        && batch.submission->items[index].scorer.has_value()) {
+        startScoring(batch, index);
+        return;
+    }
     if (decision.step != NextStep::Retry) {
         finishItem(batch, index, decision.step == NextStep::FinishLost, decision.reason);
         return;
@@ -468,11 +487,55 @@
     }
 }
 
+auto RolloutExecutor::scoringDependencies() -> scoring::ScoringDependencies
+{
+    return { m_dependencies.context,
+             m_dependencies.servers,
+             m_dependencies.health,
+             m_dependencies.pools,
+             m_dependencies.protocol,
+             m_dependencies.metrics,
+             m_dependencies.now,
+             [this](const scoring::ScoringKey &key) {
+                 const auto &batch = m_batches.at(key.batch);
+                 return batch.unfinishedInGroup[batch.items[key.item].group];
+             },
+             [this](const scoring::ScoringKey &key, std::string score) {
+                 applyScore(key, std::move(score));
+             },
+             [this](const scoring::ScoringKey &key, std::string_view reason) {
+                 abandonScoring(key, reason);
+             },
+             [this] { wake(); } };
+}
+
+auto RolloutExecutor::startScoring(OpenBatch &batch, std::size_t index) -> void
+{
+    const auto &source = batch.submission->items[index];
+    batch.items[index].state = ItemState::Scoring;
+    m_scoring.add({ batch.id, index }, { *source.scorer, source.id, batch.dueAt });
+}
+
+auto RolloutExecutor::applyScore(const scoring::ScoringKey &key, std::string score) -> void
+{
+    auto &batch = m_batches.at(key.batch);
+    batch.items[key.item].score = std::move(score);
+    finishItem(batch, key.item, false, "scored");
+}
+
+auto RolloutExecutor::abandonScoring(const scoring::ScoringKey &key, std::string_view reason)
+    -> void
+{
+    finishItem(m_batches.at(key.batch), key.item, true, reason);
+}
+
 auto RolloutExecutor::finishItem(OpenBatch &batch, std::size_t index, bool lost,
                                  std::string_view reason) -> void
 {
     auto &item = batch.items[index];
+    m_scoring.cancel({ batch.id, index });
     item.state = ItemState::Done;
+    --batch.unfinishedInGroup[item.group];
     auto result = version::batch::Result();
     result.item = static_cast<std::uint32_t>(index);
     result.itemId = batch.submission->items[index].id;
@@ -480,6 +543,7 @@
     if (!lost) {
         result.text = item.transcript->text();
         result.versions = item.transcript->versions();
+        result.score = std::move(item.score);
     }
     (lost ? m_lostItems : m_completed).add();
     if (lost)
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -14,6 +14,7 @@
 #include "process/metrics/metrics.h"
 #include "request/rollout/engineloadtracker.h"
 #include "request/rollout/openbatch.h"
+#include "request/scoring/scoringrunner.h"
 #include "version/batch/batch.h"
 #include "version/routing/routingtable.h"
 
@@ -37,7 +38,8 @@
     std::function<void(const std::string &batch, version::batch::Result result)> onFinished;
 };
 
-//! Runs the items of all open batches while this process holds the lease. Not thread-safe.
+//! Runs and scores the items of all open batches while this process holds the lease. Not
+//! thread-safe.
 class RolloutExecutor
 {
 public:
@@ -52,7 +54,8 @@
     auto addBatch(const version::batch::Batch &batch, SubmissionPtr items,
                   const std::vector<version::batch::Progress> &progress) -> void;
     //! The progress of unfinished items by batch id. An item is included only if it has at least
-    //! \a minNewEvents events more than when it was last returned.
+    //! \a minNewEvents events more than when it was last returned, or if its text has been
+    //! completed since then.
     auto collectProgress(std::uint32_t minNewEvents)
         -> std::map<std::string, std::vector<version::batch::Progress>>;
     auto endBatch(const std::string &id) -> void;
@@ -80,6 +83,10 @@
     auto finishRun(const ItemKey &key, const process::servers::Server &server,
                    const RunOutcome &outcome) -> void;
     auto applyDecision(OpenBatch &batch, std::size_t index, const RunOutcome &outcome) -> void;
+    auto scoringDependencies() -> scoring::ScoringDependencies;
+    auto startScoring(OpenBatch &batch, std::size_t index) -> void;
+    auto applyScore(const scoring::ScoringKey &key, std::string score) -> void;
+    auto abandonScoring(const scoring::ScoringKey &key, std::string_view reason) -> void;
     auto finishItem(OpenBatch &batch, std::size_t index, bool lost, std::string_view reason)
         -> void;
     auto monitorRuns() -> void;
@@ -95,6 +102,7 @@
     ExecutorDependencies m_dependencies;
     std::map<std::string, OpenBatch> m_batches;
     EngineLoadTracker m_loadTracker;
+    scoring::ScoringRunner m_scoring;
     boost::asio::steady_timer m_timer;
     process::metrics::Counter &m_completed;
     process::metrics::Counter &m_lostItems;
--- /dev/null
+++ b/src/request/scoring/scoringcall.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "connection/backend/backendpool.h"
+#include "request/scoring/scoringdecision.h"
+#include "request/serverprotocol/iserverprotocol.h"
+#include "version/batch/batch.h"
+
+namespace nutmegplank::request::scoring {
+
+struct CallOutcome
+{
+    CallEnd end = CallEnd::Lost;
+    std::uint32_t status = 0; //!< HTTP status; 0 if there was no complete response.
+    std::string score;        //!< Only if scored.
+    std::string detail;       //!< For logs.
+};
+
+//! One call of a scorer at one backend server.
+class ScoringCall
+{
+public:
+    //! \a protocol must outlive the call.
+    ScoringCall(version::batch::Scorer scorer, std::string serverId, base::Duration timeLimit,
+                const serverprotocol::IServerProtocol &protocol);
+
+    auto run(std::shared_ptr<connection::backend::BackendPool> pool)
+        -> boost::asio::awaitable<CallOutcome>;
+    //! Closes the connection; run() then returns CallEnd::Cancelled.
+    auto cancel() -> void;
+
+private:
+    auto buildRequest() const -> connection::http::Request;
+    auto classify(const connection::http::Response &response) const -> CallOutcome;
+
+    version::batch::Scorer m_scorer;
+    std::string m_serverId;
+    base::Duration m_timeLimit;
+    const serverprotocol::IServerProtocol &m_protocol;
+    connection::backend::ConnectionPtr m_connection;
+    bool m_cancelled = false;
+};
+
+} // namespace nutmegplank::request::scoring
--- a/src/request/serverprotocol/iserverprotocol.h
+++ b/src/request/serverprotocol/iserverprotocol.h
@@ -18,6 +18,7 @@
     std::optional<std::uint32_t> urgency; //!< 0 is the most urgent; engines only.
     std::optional<std::uint64_t> lastEvent;     //!< Id of the event after which to resume.
     std::optional<std::uint64_t> weightVersion; //!< Servers with another version refuse it.
+    std::string requestId; //!< Set if the request does not carry an id of its own.
 };
 
 //! Metadata in the head of a response, in addition to its status.
@@ -27,6 +28,7 @@
     bool notRun = false;      //!< The server states that it did not run the request.
     bool wrongServer = false; //!< Another server or weight version is at the address.
     bool fromServer = false;  //!< Carries the stamp header that only backend servers set.
+    std::string stamp;        //!< Value of that header.
     std::optional<std::uint64_t> weightVersion;
 };
 
--- a/src/version/batch/batch.h
+++ b/src/version/batch/batch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,16 @@
 //! texts are stored in bulk partitions and read on demand.
 namespace nutmegplank::version::batch {
 
+//! A call to a plain service that rates the text of an item once it is complete. It is sent without
+//! the caller's key and workspace, and may be repeated.
+struct Scorer
+{
+    std::string id; //!< Request id of the call.
+    std::string host;
+    std::string path;
+    std::string body;
+};
+
 //! One request of a batch.
 struct Item
 {
@@ -21,7 +32,8 @@
     std::uint64_t tokens = 0; //!< Prompt tokens plus maximum output tokens.
     std::uint64_t promptTokens = 0;
     std::uint64_t expectedOutput = 0; //!< Tokens; estimated by the caller and often inaccurate.
-    std::string group; //!< Items of a group share a prompt and are counted as one group.
+    std::string group;            //!< Items of a group share a prompt and are counted as one group.
+    std::optional<Scorer> scorer; //!< Not set if the item is listed without a score.
 };
 
 //! Metadata of a batch.
@@ -53,9 +65,10 @@
     bool lost = false; //!< The item was abandoned and has no text.
     std::string text;
     std::vector<std::uint64_t> versions; //!< Versions of the weights that generated the text.
+    std::string score;                   //!< Stamp of the scorer's response; empty if not scored.
 };
 
-//! Partial output of an unfinished item.
+//! Output of an unfinished item so far.
 struct Progress
 {
     std::uint32_t item = 0; //!< Index in the submission.
@@ -63,6 +76,7 @@
     std::uint32_t events = 0;
     std::string text;
     std::vector<std::uint64_t> versions;
+    bool complete = false; //!< The text is whole and only its score is missing.
 };
 
 //! Location of a record in the bulk partitions.
--- a/src/version/batch/internal/batchcodec.cpp
+++ b/src/version/batch/internal/batchcodec.cpp
@@ -34,6 +34,13 @@
             field.set_name(header.name);
             field.set_value(header.value);
         }
+        if (item.scorer.has_value()) {
+            auto &scorer = *added.mutable_scorer();
+            scorer.set_id(item.scorer->id);
+            scorer.set_host(item.scorer->host);
+            scorer.set_path(item.scorer->path);
+            scorer.set_body(item.scorer->body);
+        }
     }
     return message;
 }
@@ -50,6 +57,10 @@
     item.group = message.group();
     for (const auto &header : message.headers())
         item.headers.push_back({ header.name(), header.value() });
+    if (message.has_scorer()) {
+        const auto &scorer = message.scorer();
+        item.scorer = Scorer { scorer.id(), scorer.host(), scorer.path(), scorer.body() };
+    }
     return item;
 }
 
@@ -85,6 +96,7 @@
         added.set_item_id(result.itemId);
         added.set_lost(result.lost);
         added.set_text(result.text);
+        added.set_score(result.score);
         for (const auto version : result.versions)
             added.add_versions(version);
     }
@@ -102,6 +114,7 @@
         added.set_last_event(progress.lastEvent);
         added.set_events(progress.events);
         added.set_text(progress.text);
+        added.set_complete(progress.complete);
         for (const auto version : progress.versions)
             added.add_versions(version);
     }
@@ -213,6 +226,7 @@
         result.lost = stored.lost();
         result.text = std::move(*stored.mutable_text());
         result.versions.assign(stored.versions().begin(), stored.versions().end());
+        result.score = stored.score();
     }
     return results;
 }
@@ -232,6 +246,7 @@
         progress.events = stored.events();
         progress.text = stored.text();
         progress.versions.assign(stored.versions().begin(), stored.versions().end());
+        progress.complete = stored.complete();
     }
     return items;
 }
--- a/src/version/batch/tests/batchcodec_tests.cpp
+++ b/src/version/batch/tests/batchcodec_tests.cpp
@@ -74,3 +74,26 @@
     EXPECT_EQ(progress->front().lastEvent, 17U);
     EXPECT_EQ(progress->front().versions, (std::vector<std::uint64_t> { 4, 5 }));
 }
+
+TEST(BatchCodec, BatchCodec_ScorerScoreAndCompleteness_AreKept)
+{
+    auto submission = largeSubmission();
+    submission.items[3].scorer =
+        Scorer { "s3", "h.example", "/checks/3", std::string("\0\xff", 2) };
+    auto assembler = SubmissionAssembler("b", "try");
+    for (const auto &record : encodeSubmission(submission, "try", 1 << 20))
+        assembler.addRecord(record);
+    const auto read = assembler.finish();
+    ASSERT_TRUE(read.has_value());
+    EXPECT_FALSE(read->items[2].scorer.has_value());
+    ASSERT_TRUE(read->items[3].scorer.has_value());
+    EXPECT_EQ(read->items[3].scorer->path, "/checks/3");
+    EXPECT_EQ(read->items[3].scorer->body, std::string("\0\xff", 2));
+    const auto results =
+        decodeResults(encodeResults("b", { { 0, "i", false, "text", { 3 }, "stamp" } }), "b");
+    EXPECT_EQ(results->front().score, "stamp");
+    const auto progress = decodeProgress(
+        encodeProgress("b", { { 4, 2, 2, "a\nb", { 3 }, true }, { 5, 1, 1, "a", { 3 } } }), "b");
+    EXPECT_TRUE(progress->front().complete);
+    EXPECT_FALSE(progress->back().complete);
+}
