Keep the lease and its work over an outage of the log

Cause: a lease counted as silent after 1.9 s without a renewal, also while the log was unavailable to all machines. This is one of the faults that operators met: a machine that was only silent had its running work started again.

Change: silence of the holder counts only if the log has been available for 0.9 s of it; the holder retries an unavailable log fast and renews as soon as it answers, also beside an append that still hangs. A restarted holder's machine claims at once, as before. A closed usage window is read back right after it was written instead of at the next poll, since after an outage its report may be due at once.

--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -207,15 +207,24 @@
 auto Conductor::stepLease(base::TimePoint now) -> asio::awaitable<void>
 {
     m_inCharge.set(m_leadership.fence(now).has_value() ? 1 : 0);
-    if (m_sendingLease || !m_leaseFollower.caughtUp())
+    const auto &reachability = m_leaseFollower.reachability();
+    // The holder must be the first to notice that the log is available again.
+    if (!reachability.reachable() && m_leadership.uncontestedFence().has_value())
+        m_leaseFollower.requestFastRetries(now);
+    // An append that began before the log's return may hang until its timeout.
+    const auto isSending = m_sendingLease && m_leaseSentAt >= reachability.recoveredAt();
+    if (isSending || !m_leaseFollower.caughtUp())
         co_return;
     // Who has not read all batches, or no configuration, would only hold up the others.
     const auto mayClaim = !m_departing && m_parts.batches.caughtUp() && m_parts.batches.reachable()
         && m_parts.routing() != nullptr;
-    auto action = m_leadership.next(now, m_leaseFollower.reachability().answeredAt(), mayClaim);
+    const auto contact =
+        version::leadership::LogContact { reachability.answeredAt(), reachability.recoveredAt() };
+    auto action = m_leadership.next(now, contact, mayClaim);
     if (!action.has_value())
         co_return;
     m_sendingLease = true;
+    m_leaseSentAt = now;
     asio::co_spawn(m_parts.context, sendLease(std::move(*action)), asio::detached);
 }
 
--- a/src/app/node/conductor.h
+++ b/src/app/node/conductor.h
@@ -87,6 +87,7 @@
     std::uint64_t m_refusedFence = 0; //!< The platform has seen a higher one.
     bool m_activating = false;
     bool m_sendingLease = false;
+    base::TimePoint m_leaseSentAt {};
     bool m_departing = false; //!< Takes over nothing new.
     bool m_leaving = false;
     bool m_handingOver = false; //!< Makes no calls any more that need the lease.
--- a/src/app/node/usageduty.cpp
+++ b/src/app/node/usageduty.cpp
@@ -24,6 +24,9 @@
 //! the report late.
 constexpr auto CLOSE_AFTER = std::chrono::milliseconds(2100);
 constexpr auto DUTY_CHECK = std::chrono::milliseconds(400);
+constexpr auto READ_BACK_TIME = std::chrono::milliseconds(500);
+//! An append and a read take some milliseconds each.
+constexpr auto READ_BACK_CHECK = std::chrono::milliseconds(20);
 //! Windows that ended longer ago are not reported any more.
 constexpr auto REPORT_WITHIN = std::chrono::seconds(20);
 
@@ -77,13 +80,16 @@
         const auto fence = m_parts.fence(process::clock::now());
         if (!fence.has_value() || !m_follower.caughtUp())
             continue;
-        co_await closeWindows(*fence);
+        const auto closedUntil = co_await closeWindows(*fence);
+        co_await waitForPosition(closedUntil);
         co_await reportWindows();
     }
 }
 
-auto UsageDuty::closeWindows(std::uint64_t fence) -> asio::awaitable<void>
+//! Returns the log's end after the last record written; 0 if none was.
+auto UsageDuty::closeWindows(std::uint64_t fence) -> asio::awaitable<std::uint64_t>
 {
+    auto end = std::uint64_t(0);
     const auto trueMs = m_parts.trueTime.milliseconds(process::clock::now());
     const auto current = m_local.windowOf(trueMs);
     const auto newest = m_log.newestClosed();
@@ -100,7 +106,20 @@
               { "fence", fence },
               { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES, result.outcome) } });
         if (result.outcome != journal::AppendOutcome::Done)
-            co_return;
+            break;
+        end = result.offset + 1;
+    }
+    co_return end;
+}
+
+//! A closed window is reported only once it has been read back, since the first record of it
+//! counts. After an outage of the log the report may be due within a second.
+auto UsageDuty::waitForPosition(std::uint64_t offset) -> asio::awaitable<void>
+{
+    const auto until = process::clock::now() + READ_BACK_TIME;
+    while (m_follower.position() < offset && process::clock::now() < until) {
+        m_follower.readNow();
+        co_await pauseFor(READ_BACK_CHECK);
     }
 }
 
--- a/src/app/node/usageduty.h
+++ b/src/app/node/usageduty.h
@@ -45,7 +45,8 @@
 private:
     auto countLoop() -> boost::asio::awaitable<void>;
     auto dutyLoop() -> boost::asio::awaitable<void>;
-    auto closeWindows(std::uint64_t fence) -> boost::asio::awaitable<void>;
+    auto closeWindows(std::uint64_t fence) -> boost::asio::awaitable<std::uint64_t>;
+    auto waitForPosition(std::uint64_t offset) -> boost::asio::awaitable<void>;
     auto reportWindows() -> boost::asio::awaitable<void>;
     auto report(const version::metering::ClosedWindow &window, std::uint64_t fence)
         -> boost::asio::awaitable<process::capacity::DutyOutcome>;
--- a/src/version/journal/follower.cpp
+++ b/src/version/journal/follower.cpp
@@ -24,6 +24,7 @@
     , m_options(std::move(options))
     , m_hooks(std::move(hooks))
     , m_reachability(m_options.partition)
+    , m_pauseTimer(context)
 { }
 
 auto Follower::start(std::uint64_t from) -> void
@@ -46,10 +47,25 @@
         m_reachability.noteAnswer(now);
         processPage(*page, now);
         if (m_caughtUp && m_options.pause.count() > 0)
-            co_await pauseFor(m_options.pause);
+            co_await pause();
     }
 }
 
+auto Follower::pause() -> asio::awaitable<void>
+{
+    if (std::exchange(m_readNow, false))
+        co_return;
+    m_pauseTimer.expires_after(m_options.pause);
+    co_await m_pauseTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+    m_readNow = false;
+}
+
+auto Follower::readNow() -> void
+{
+    m_readNow = true;
+    m_pauseTimer.cancel();
+}
+
 auto Follower::processPage(const Page &page, base::TimePoint now) -> void
 {
     if (page.compacted) {
--- a/src/version/journal/follower.h
+++ b/src/version/journal/follower.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "version/journal/ijournal.h"
 #include "version/journal/reachability.h"
@@ -41,9 +42,12 @@
     //! Retries an unreachable log faster for a short time, because a caller is waiting for it.
     auto requestFastRetries(base::TimePoint now) -> void { m_reachability.requestFastRetries(now); }
     auto caughtUp() const -> bool { return m_caughtUp; }
+    //! Reads now instead of after the pause, because a new record is known to exist.
+    auto readNow() -> void;
 
 private:
     auto run() -> boost::asio::awaitable<void>;
+    auto pause() -> boost::asio::awaitable<void>;
     auto processPage(const Page &page, base::TimePoint now) -> void;
 
     boost::asio::io_context &m_context;
@@ -52,6 +56,8 @@
     FollowerHooks m_hooks;
     std::uint64_t m_position = 0;
     Reachability m_reachability;
+    boost::asio::steady_timer m_pauseTimer;
+    bool m_readNow = false;
     bool m_caughtUp = false;
 };
 
--- a/src/version/leadership/leadership.cpp
+++ b/src/version/leadership/leadership.cpp
@@ -69,10 +69,13 @@
     return message;
 }
 
-auto Leadership::next(base::TimePoint now, base::TimePoint logAnsweredAt, bool mayClaim)
+auto Leadership::next(base::TimePoint now, const LogContact &contact, bool mayClaim)
     -> std::optional<LeaseAction>
 {
-    if (m_released || now - m_lastAttempt < m_times.renewEvery)
+    // The holder renews as soon as the log is available again.
+    const auto throttled = now - m_lastAttempt < m_times.renewEvery
+        && (m_holder != m_self.process || m_lastAttempt >= contact.recoveredAt);
+    if (m_released || throttled)
         return std::nullopt;
     std::erase_if(m_sentAt, [&](const auto &entry) { return now - entry.second > m_times.term; });
     if (m_holder == m_self.process) {
@@ -82,11 +85,12 @@
         return LeaseAction { std::move(renewal), std::nullopt };
     }
     const auto isOnHolderMachine = m_holderMachine == m_self.machine;
-    const auto isFree =
-        m_holder.empty() || isOnHolderMachine || now - m_lastRecordAt > m_times.claimAfter;
+    const auto isSilent = now - m_lastRecordAt > m_times.claimAfter
+        && now - contact.recoveredAt > m_times.recoveryGrace;
+    const auto isFree = m_holder.empty() || isOnHolderMachine || isSilent;
     const auto pauses =
         m_lostAt.has_value() && !isOnHolderMachine && now - *m_lostAt < m_times.pauseAfterLoss;
-    if (!isFree || pauses || !mayClaim || now - logAnsweredAt > m_times.maxLogAnswerAge) {
+    if (!isFree || pauses || !mayClaim || now - contact.answeredAt > m_times.maxLogAnswerAge) {
         m_freeSince.reset();
         return std::nullopt;
     }
--- a/src/version/leadership/leadership.h
+++ b/src/version/leadership/leadership.h
@@ -25,6 +25,9 @@
     //! Additional time this process waits before it claims a free lease, so that other processes
     //! can claim it first.
     base::Duration claimDelay { 0 };
+    //! After the log was unavailable, the holder has this long to renew before another process
+    //! claims. Allows for a read that began before the log's return and for one append.
+    base::Duration recoveryGrace = std::chrono::milliseconds(900);
     //! A machine whose lease another one has taken over does not claim it for this long. Needed if
     //! peers do not check fencing numbers: they would see holders act by turns.
     base::Duration pauseAfterLoss { 0 };
@@ -43,6 +46,13 @@
     std::string machine;
 };
 
+//! When this process was last in contact with the log.
+struct LogContact
+{
+    base::TimePoint answeredAt {};  //!< The log's last answer to a read of the lease.
+    base::TimePoint recoveredAt {}; //!< Its first answer after it was last unavailable.
+};
+
 //! A record that the caller must append to the log.
 struct LeaseAction
 {
@@ -55,17 +65,18 @@
 //! appended at the offset where its writer saw the log end; its offset plus one is the fencing
 //! number. The holder measures its term from before it sent a renewal, and the renewal counts only
 //! once the holder has read it back from the log. The lease is free after a release or after the
-//! holder has been silent for LeaseTimes::claimAfter. It is free immediately for a new process on
-//! the holder's machine, because the holder has certainly terminated.
+//! holder has been silent for LeaseTimes::claimAfter, of which LeaseTimes::recoveryGrace with the
+//! log available: after an outage of the log the holder keeps the lease, and with it its work. It
+//! is free immediately for a new process on the holder's machine, because the holder has certainly
+//! terminated.
 class Leadership
 {
 public:
     Leadership(Candidate self, LeaseTimes times);
 
     auto apply(const journal::Record &record, base::TimePoint now) -> void;
-    //! The record to append now, if any. \a logAnsweredAt is the time when the log last answered a
-    //! read of the lease.
-    auto next(base::TimePoint now, base::TimePoint logAnsweredAt, bool mayClaim)
+    //! The record to append now, if any.
+    auto next(base::TimePoint now, const LogContact &contact, bool mayClaim)
         -> std::optional<LeaseAction>;
     //! The fencing number while this process holds a valid lease. Call it right before each order.
     auto fence(base::TimePoint now) const -> std::optional<std::uint64_t>;
--- a/src/version/leadership/tests/leadership_tests.cpp
+++ b/src/version/leadership/tests/leadership_tests.cpp
@@ -58,7 +58,7 @@
 
 auto step(Process &process, FakeLog &log, base::TimePoint now) -> void
 {
-    const auto action = process.lease.next(now, process.answeredAt, true);
+    const auto action = process.lease.next(now, { process.answeredAt }, true);
     if (action.has_value())
         log.append(*action);
 }
@@ -72,8 +72,8 @@
     auto second = Process("b");
     first.readAll(log, START);
     second.readAll(log, START);
-    const auto claimOfFirst = first.lease.next(START, START, true);
-    const auto claimOfSecond = second.lease.next(START, START, true);
+    const auto claimOfFirst = first.lease.next(START, { START }, true);
+    const auto claimOfSecond = second.lease.next(START, { START }, true);
     ASSERT_TRUE(claimOfFirst.has_value());
     ASSERT_TRUE(claimOfSecond.has_value());
     EXPECT_TRUE(log.append(*claimOfFirst));
@@ -105,9 +105,9 @@
     step(holder, log, START);
     other.readAll(log, START + 5ms);
     other.readAll(log, START + 1800ms);
-    EXPECT_FALSE(other.lease.next(START + 1800ms, START + 1800ms, true).has_value());
+    EXPECT_FALSE(other.lease.next(START + 1800ms, { START + 1800ms }, true).has_value());
     other.readAll(log, START + 2s);
-    const auto claim = other.lease.next(START + 2s, START + 2s, true);
+    const auto claim = other.lease.next(START + 2s, { START + 2s }, true);
     ASSERT_TRUE(claim.has_value());
     log.append(*claim);
     other.readAll(log, START + 2s);
@@ -119,7 +119,7 @@
     auto log = FakeLog();
     auto other = Process("b");
     other.readAll(log, START);
-    EXPECT_FALSE(other.lease.next(START + 5s, START, true).has_value());
+    EXPECT_FALSE(other.lease.next(START + 5s, { START }, true).has_value());
 }
 
 //! Small machines use a claim delay, so that larger ones get the lease first.
@@ -130,9 +130,9 @@
     times.claimDelay = 800ms;
     auto small = Process("small", times);
     small.readAll(log, START);
-    EXPECT_FALSE(small.lease.next(START, START, true).has_value());
-    EXPECT_FALSE(small.lease.next(START + 500ms, START + 500ms, true).has_value());
-    EXPECT_TRUE(small.lease.next(START + 900ms, START + 900ms, true).has_value());
+    EXPECT_FALSE(small.lease.next(START, { START }, true).has_value());
+    EXPECT_FALSE(small.lease.next(START + 500ms, { START + 500ms }, true).has_value());
+    EXPECT_TRUE(small.lease.next(START + 900ms, { START + 900ms }, true).has_value());
 }
 
 TEST(Leadership, Leadership_Release_FreesTheLeaseImmediately)
@@ -145,8 +145,8 @@
     holder.readAll(log, START);
     log.append(*holder.lease.release());
     other.readAll(log, START + 20ms);
-    EXPECT_TRUE(other.lease.next(START + 20ms, START + 20ms, true).has_value());
-    EXPECT_FALSE(holder.lease.next(START + 2s, START + 2s, true).has_value());
+    EXPECT_TRUE(other.lease.next(START + 20ms, { START + 20ms }, true).has_value());
+    EXPECT_FALSE(holder.lease.next(START + 2s, { START + 2s }, true).has_value());
 }
 
 TEST(Leadership, Leadership_LateRenewalOfPreviousHolder_IsIgnored)
@@ -157,7 +157,7 @@
     previous.readAll(log, START);
     step(previous, log, START);
     previous.readAll(log, START);
-    const auto late = previous.lease.next(START + 500ms, START + 500ms, true);
+    const auto late = previous.lease.next(START + 500ms, { START + 500ms }, true);
     other.readAll(log, START);
     other.readAll(log, START + 3s);
     step(other, log, START + 3s);
@@ -176,7 +176,7 @@
     auto other = Leadership({ "b", "b" }, {});
     other.apply({ 900, renewal.SerializeAsString() }, START);
     EXPECT_EQ(other.holder(), "a");
-    EXPECT_FALSE(other.next(START + 100ms, START + 100ms, true).has_value());
+    EXPECT_FALSE(other.next(START + 100ms, { START + 100ms }, true).has_value());
 }
 
 //! Processes read late, lose appends and are suspended. At most one of them may hold the lease at a
@@ -198,7 +198,7 @@
         auto &process = processes[static_cast<std::size_t>(index)];
         if (random % 7 != 0)
             process.readAll(log, now);
-        const auto action = process.lease.next(now, process.answeredAt, true);
+        const auto action = process.lease.next(now, { process.answeredAt }, true);
         if (action.has_value() && random % 5 != 0)
             log.append(*action);
         if (random == 99)
@@ -269,9 +269,9 @@
     second.readAll(log, START + 2s);
     log.append(*second.lease.release());
     first.readAll(log, START + 2100ms);
-    EXPECT_FALSE(first.lease.next(START + 2100ms, START + 2100ms, true).has_value());
-    EXPECT_FALSE(first.lease.next(START + 4900ms, START + 4900ms, true).has_value());
-    EXPECT_TRUE(first.lease.next(START + 5100ms, START + 5100ms, true).has_value());
+    EXPECT_FALSE(first.lease.next(START + 2100ms, { START + 2100ms }, true).has_value());
+    EXPECT_FALSE(first.lease.next(START + 4900ms, { START + 4900ms }, true).has_value());
+    EXPECT_TRUE(first.lease.next(START + 5100ms, { START + 5100ms }, true).has_value());
 }
 
 TEST(Leadership, Leadership_UncheckedCall_EndsBeforeTheTerm)
@@ -351,7 +351,7 @@
             continue;
         if (random % 7 != 0)
             process.readAll(log, now);
-        const auto action = process.lease.next(now, process.answeredAt, true);
+        const auto action = process.lease.next(now, { process.answeredAt }, true);
         if (action.has_value() && random % 5 != 0)
             log.append(*action);
         const auto limit = process.lease.uncheckedCallLimit(now);
@@ -383,3 +383,59 @@
     }
     checkOrder(std::move(calls));
 }
+
+//! The log is unavailable to all machines for longer than the lease lasts. The holder goes on
+//! running its items and has results to write; a process that sees the log first must not take over
+//! and start that work again.
+TEST(Leadership, Leadership_LogOutage_HolderKeepsTheLease)
+{
+    auto log = FakeLog();
+    auto holder = Process("a");
+    auto other = Process("b");
+    holder.readAll(log, START);
+    step(holder, log, START);
+    holder.readAll(log, START);
+    other.readAll(log, START);
+    const auto recoveredAt = START + 7s;
+    EXPECT_FALSE(
+        other.lease.next(recoveredAt + 5ms, { recoveredAt + 5ms, recoveredAt }, true).has_value());
+    EXPECT_FALSE(other.lease.next(recoveredAt + 800ms, { recoveredAt + 800ms, recoveredAt }, true)
+                     .has_value());
+    const auto holderRecoveredAt = recoveredAt + 700ms;
+    const auto renewal =
+        holder.lease.next(holderRecoveredAt, { holderRecoveredAt, holderRecoveredAt }, true);
+    ASSERT_TRUE(renewal.has_value());
+    log.append(*renewal);
+    other.readAll(log, holderRecoveredAt + 10ms);
+    EXPECT_FALSE(
+        other.lease.next(recoveredAt + 2s, { recoveredAt + 2s, recoveredAt }, true).has_value());
+    EXPECT_TRUE(holder.lease.uncontestedFence().has_value());
+}
+
+TEST(Leadership, Leadership_HolderLostDuringLogOutage_IsReplacedAfterTheGrace)
+{
+    auto log = FakeLog();
+    auto holder = Process("a");
+    auto other = Process("b");
+    holder.readAll(log, START);
+    step(holder, log, START);
+    other.readAll(log, START);
+    const auto recoveredAt = START + 7s;
+    EXPECT_TRUE(
+        other.lease.next(recoveredAt + 1s, { recoveredAt + 1s, recoveredAt }, true).has_value());
+}
+
+TEST(Leadership, Leadership_LogIsBack_HolderRenewsAtOnce)
+{
+    auto log = FakeLog();
+    auto holder = Process("a");
+    holder.readAll(log, START);
+    step(holder, log, START);
+    holder.readAll(log, START);
+    const auto lastAttempt = START + 5s;
+    EXPECT_TRUE(holder.lease.next(lastAttempt, { START, START }, true).has_value());
+    const auto recoveredAt = lastAttempt + 50ms;
+    EXPECT_TRUE(holder.lease.next(recoveredAt, { recoveredAt, recoveredAt }, true).has_value());
+    EXPECT_FALSE(
+        holder.lease.next(recoveredAt + 50ms, { recoveredAt, recoveredAt }, true).has_value());
+}
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -134,6 +134,22 @@
         self.check_results(self.world.wait_results(self.world.nodes[2], "b1", 10), 10)
         self.check_results(self.world.wait_results(self.world.nodes[2], "b2", 5), 5)
 
+    def test_holder_keeps_its_work_over_an_outage_of_the_store(self):
+        """The outage outlasts the lease. A machine that sees the store first must not start the holder's items again."""
+        for engine in self.world.engines:
+            engine.pace = 0.4
+        for number, mode in enumerate(("busy", "silent", "reset")):
+            holder = self.world.holder()
+            before = sum(len(engine.requests) for engine in self.world.engines)
+            self.assertEqual(self.world.submit(self.world.nodes[0], f"b{number}", 9), 202)
+            time.sleep(0.3)
+            self.world.store.mode = mode
+            time.sleep(4)
+            self.world.store.mode = "up"
+            self.check_results(self.world.wait_results(self.world.nodes[1], f"b{number}", 9, 5), 9)
+            self.assertEqual(sum(len(engine.requests) for engine in self.world.engines) - before, 9, mode)
+            self.assertIs(self.world.holder(), holder, mode)
+
     def test_lost_answers_of_the_store_double_nothing(self):
         self.world.store.lose_answers = 6
         statuses = [self.world.submit(self.world.nodes[n % 3], "b1", 10) for n in range(2)]
