Pass a released lease to machines that were restarted already

Change: a release carries the uptime of its process, and a process that has run for as long waits 150 ms before it claims, so that restarted ones come first.

--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -53,7 +53,8 @@
 
 Conductor::Conductor(ConductorParts parts)
     : m_parts(std::move(parts))
-    , m_leadership({ m_parts.process, m_parts.settings.node }, leaseTimes(m_parts.settings))
+    , m_leadership({ m_parts.process, m_parts.settings.node, process::clock::now() },
+                   leaseTimes(m_parts.settings))
     , m_leaseFollower(m_parts.context, m_parts.journal,
                       { partitionFor(PartitionUse::Lease), LONG_POLL },
                       { [this](const journal::Record &record, base::TimePoint now) {
@@ -333,7 +334,7 @@
         co_await m_results.drain(process::clock::now() + HAND_OVER_TIME);
     }
     co_await endCalls();
-    const auto action = m_leadership.release();
+    const auto action = m_leadership.release(process::clock::now());
     deactivate("this process is leaving");
     if (action.has_value())
         co_await sendLease(*action);
--- a/src/version/leadership/leadership.cpp
+++ b/src/version/leadership/leadership.cpp
@@ -38,6 +38,7 @@
         return;
     }
     m_lastRecordAt = now;
+    m_releaserUptime = std::chrono::milliseconds(message.uptime_ms());
     if (message.kind() == record::LEASE_RELEASE) {
         logging::info("lease.released", { { "holder", m_holder }, { "fence", m_holderFence } });
         m_holder.clear();
@@ -96,7 +97,7 @@
     }
     if (!m_freeSince.has_value())
         m_freeSince = now;
-    if (now - *m_freeSince < m_times.claimDelay)
+    if (now - *m_freeSince < claimDelay(now))
         return std::nullopt;
     m_lastAttempt = now;
     auto claim = makeRecord(record::LEASE_CLAIM);
@@ -104,6 +105,14 @@
     return LeaseAction { std::move(claim), m_logEnd };
 }
 
+auto Leadership::claimDelay(base::TimePoint now) const -> base::Duration
+{
+    const auto wasReleased = m_releaserUptime.count() > 0;
+    const auto isRestarted = now - m_self.startedAt < m_releaserUptime;
+    return wasReleased && !isRestarted ? m_times.claimDelay + m_times.notRestartedDelay
+                                       : m_times.claimDelay;
+}
+
 auto Leadership::fence(base::TimePoint now) const -> std::optional<std::uint64_t>
 {
     if (m_released || m_holder != m_self.process || now >= m_validUntil)
@@ -124,14 +133,16 @@
     return m_holderFence;
 }
 
-auto Leadership::release() -> std::optional<LeaseAction>
+auto Leadership::release(base::TimePoint now) -> std::optional<LeaseAction>
 {
     if (m_released)
         return std::nullopt;
     m_released = true;
     if (m_holder != m_self.process)
         return std::nullopt;
-    return LeaseAction { makeRecord(record::LEASE_RELEASE), std::nullopt };
+    auto release = makeRecord(record::LEASE_RELEASE);
+    release.set_uptime_ms(base::toMilliseconds(now - m_self.startedAt));
+    return LeaseAction { std::move(release), std::nullopt };
 }
 
 } // namespace nutmegplank::version::leadership
--- a/src/version/leadership/leadership.h
+++ b/src/version/leadership/leadership.h
@@ -34,6 +34,10 @@
     //! A call to a peer that does not check fencing numbers has ended this long before the term
     //! does. Covers the delay of the network; claimAfter adds the same again and more.
     base::Duration uncheckedCallMargin = std::chrono::milliseconds(100);
+    //! Additional time that a process waits for a released lease if it has run for as long as the
+    //! process that released it. In a rolling restart processes that were restarted already take
+    //! the lease; the others would be stopped next and pass it on again.
+    base::Duration notRestartedDelay = std::chrono::milliseconds(150);
     //! Maximum age of the log's last answer for a claim; otherwise the claimant's view may be
     //! stale.
     base::Duration maxLogAnswerAge = std::chrono::milliseconds(1300);
@@ -44,6 +48,7 @@
 {
     std::string process; //!< Unique for each incarnation.
     std::string machine;
+    base::TimePoint startedAt {};
 };
 
 //! When this process was last in contact with the log.
@@ -88,12 +93,13 @@
     auto uncontestedFence() const -> std::optional<std::uint64_t>;
     //! A release record to append if this process holds the lease. This process no longer takes
     //! part in the election afterwards.
-    auto release() -> std::optional<LeaseAction>;
+    auto release(base::TimePoint now) -> std::optional<LeaseAction>;
 
     auto holder() const -> const std::string & { return m_holder; }
 
 private:
     auto noteHolderMachine(const std::string &machine, base::TimePoint now) -> void;
+    auto claimDelay(base::TimePoint now) const -> base::Duration;
     auto makeRecord(record::LeaseRecordKind kind) -> record::LeaseRecord;
 
     Candidate m_self;
@@ -110,6 +116,8 @@
     base::TimePoint m_validUntil {};
     //! Time when another machine was seen to take the lease over from this one.
     std::optional<base::TimePoint> m_lostAt;
+    //! Uptime of the process that released the lease; 0 if it was not released.
+    base::Duration m_releaserUptime { 0 };
     bool m_released = false;
 };
 
