Bound endless answers, and answer requests that arrive as a server drains

Cause, endless bytes: the client's read buffer had no limit, so that a peer which never ends the size line of a chunk, its extension or a trailer grew it without end. Cause, planned stop: draining closed idle connections by cancelling their read, also when a whole request already lay in the system's buffers, and closing the acceptor reset connections that had not been accepted yet. Both are faults that operators met.

Change: read buffers hold 64 KB at most beside the head's own limit. Draining leaves a connection with unread bytes to its request, and takes connections out of the accept queue before it closes it.

--- a/src/connection/http/internal/httpconnection.h
+++ b/src/connection/http/internal/httpconnection.h
@@ -39,7 +39,10 @@
     Stream m_stream;
     std::string m_peer;
     std::uint64_t m_bodyLimit;
-    boost::beast::flat_buffer m_buffer;
+    //! Limits what a peer can make this process keep before a head, chunk or trailer is complete.
+    static constexpr auto MAX_BUFFERED_BYTES = std::size_t(64 * 1024);
+
+    boost::beast::flat_buffer m_buffer { MAX_BUFFERED_BYTES };
     std::unique_ptr<Parser> m_parser;
     bool m_headRequest = false;
     bool m_reusable = true;
--- a/src/connection/http/internal/httpserver.cpp
+++ b/src/connection/http/internal/httpserver.cpp
@@ -75,6 +75,21 @@
         }
     }
 
+    //! Connections in the system's queue may already hold requests; closing the acceptor would
+    //! reset them.
+    auto closeAcceptor() -> void
+    {
+        auto error = beast::error_code();
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            auto socket = Tcp::socket(asio::make_strand(context));
+            acceptor.accept(socket, error);
+            if (!error)
+                start(std::move(socket));
+        }
+        acceptor.close(error);
+    }
+
     auto start(Tcp::socket socket) -> void
     {
         if (host->connections >= host->limits.load()->connections)
@@ -143,10 +158,7 @@
 {
     m_state->host->draining = true;
     m_state->host->wakeIdle();
-    asio::post(m_state->context, [state = m_state] {
-        auto ignored = beast::error_code();
-        state->acceptor.close(ignored);
-    });
+    asio::post(m_state->context, [state = m_state] { state->closeAcceptor(); });
 }
 
 auto HttpServer::connectionCount() const -> std::size_t
--- a/src/connection/http/internal/httpsession.cpp
+++ b/src/connection/http/internal/httpsession.cpp
@@ -16,6 +16,8 @@
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 constexpr auto FIRST_READ_BYTES = std::size_t(4096);
+//! Space beside the head for parts of the body, and for a chunk's or trailer's line.
+constexpr auto BODY_BUFFER_BYTES = std::size_t(64 * 1024);
 
 auto statusForReadError(beast::error_code error) -> beast::http::status
 {
@@ -52,18 +54,26 @@
     m_host->wakers[this] = [weak, executor] {
         asio::post(executor, [weak] {
             const auto session = weak.lock();
-            if (session != nullptr && session->m_idle)
+            // A request that has arrived is answered, though nothing of it has been read yet.
+            if (session != nullptr && session->m_idle && !session->hasUnreadBytes())
                 session->tcp().cancel();
         });
     };
 }
 
+template <typename Stream>
+auto HttpSession<Stream>::hasUnreadBytes() -> bool
+{
+    auto byte = char();
+    return ::recv(tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 template <typename Stream>
 auto HttpSession<Stream>::waitForFirstByte() -> asio::awaitable<bool>
 {
     if (m_buffer.size() > 0)
         co_return true;
-    if (m_host->draining)
+    if (m_host->draining && !hasUnreadBytes())
         co_return false;
     m_idle = true;
     tcp().expires_after(m_host->limits.load()->idleTime);
@@ -136,6 +146,7 @@
     auto parser = Parser();
     const auto limits = m_host->limits.load();
     parser.header_limit(limits->headerBytes);
+    m_buffer.max_size(limits->headerBytes + BODY_BUFFER_BYTES);
     parser.body_limit(limits->bodyBytes);
     tcp().expires_after(limits->headerTime);
     auto [headError, headBytes] =
--- a/src/connection/http/internal/httpsession.h
+++ b/src/connection/http/internal/httpsession.h
@@ -67,6 +67,8 @@
     auto readRequest() -> boost::asio::awaitable<std::optional<Request>>;
     auto refuse(boost::beast::error_code error) -> boost::asio::awaitable<void>;
     auto waitForFirstByte() -> boost::asio::awaitable<bool>;
+    //! Whether the caller has sent bytes that have not been read yet.
+    auto hasUnreadBytes() -> bool;
     auto registerWaker() -> void;
     auto watchCaller() -> void;
     auto stopWatching() -> void;
