Carry texts over to later batches, move items only where there is room, skip foreign answers

Changes: CarriedTexts keeps the texts of unfinished items of ended batches for identical items whose batch allows their versions. planMoves moves an item only if an engine of normal speed has a slot and cache for it. readOwnResponse skips whole responses to other requests; a connection that saw one, or an internal error, is not used again. Silence is measured by an engine's usual event interval, and doubles with each run that was ended for it. An event is limited to 256 KB.

--- a/src/connection/http/httpclient.h
+++ b/src/connection/http/httpclient.h
@@ -32,6 +32,10 @@
 auto exchangeWhole(IHttpConnection &connection, const Request &request, base::TimePoint deadline)
     -> boost::asio::awaitable<absl::StatusOr<Response>>;
 
+//! Appends the body of \a response to it, after its head was read on \a connection.
+auto readWholeBody(IHttpConnection &connection, Response &response, base::TimePoint deadline)
+    -> boost::asio::awaitable<absl::Status>;
+
 //! One exchange on a connection of its own, with the whole body; \a timeout covers all of it. On an
 //! error after connecting, whether the peer acted is not known.
 auto fetch(std::string endpoint, Request request, base::Duration timeout,
--- a/src/connection/http/internal/httpclient.cpp
+++ b/src/connection/http/internal/httpclient.cpp
@@ -42,6 +42,11 @@
                            { std::string(step), peer });
 }
 
+auto timeLeft(base::TimePoint deadline) -> base::Duration
+{
+    return std::max(LEAST_STEP_TIME, deadline - process::clock::now());
+}
+
 } // namespace
 
 auto connect(std::string endpoint, ConnectOptions options)
@@ -72,26 +77,32 @@
         std::move(secure), endpoint, options.bodyBytes);
 }
 
+auto readWholeBody(IHttpConnection &connection, Response &response, base::TimePoint deadline)
+    -> asio::awaitable<absl::Status>
+{
+    while (true) {
+        auto part = co_await connection.readBody(timeLeft(deadline));
+        if (!part.ok())
+            co_return part.status();
+        if (!part->has_value())
+            co_return absl::OkStatus();
+        response.body += **part;
+    }
+}
+
 auto exchangeWhole(IHttpConnection &connection, const Request &request, base::TimePoint deadline)
     -> asio::awaitable<absl::StatusOr<Response>>
 {
-    const auto left = [deadline] {
-        return std::max(LEAST_STEP_TIME, deadline - process::clock::now());
-    };
-    const auto sent = co_await connection.send(request, left());
+    const auto sent = co_await connection.send(request, timeLeft(deadline));
     if (!sent.ok())
         co_return sent;
-    auto response = co_await connection.readHead(left());
+    auto response = co_await connection.readHead(timeLeft(deadline));
     if (!response.ok())
         co_return response;
-    while (true) {
-        auto part = co_await connection.readBody(left());
-        if (!part.ok())
-            co_return part.status();
-        if (!part->has_value())
-            co_return response;
-        response->body += **part;
-    }
+    const auto read = co_await readWholeBody(connection, *response, deadline);
+    if (!read.ok())
+        co_return read;
+    co_return response;
 }
 
 auto fetch(std::string endpoint, Request request, base::Duration timeout, ConnectOptions options)
--- a/src/platform/enginecontrol.cpp
+++ b/src/platform/enginecontrol.cpp
@@ -27,6 +27,13 @@
     { LoadStrategy::Retain, "retain" },
 } };
 
+//! Orders and reports carry no request id. A response with one belongs to another request on the
+//! connection.
+auto isForeign(const http::Response &response) -> bool
+{
+    return !http::headerValue(response.headers, wireheaders::REQUEST_ID).empty();
+}
+
 auto outcomeForStatus(std::uint32_t status) -> OrderOutcome
 {
     switch (status) {
@@ -70,6 +77,8 @@
                             CALL_TIMEOUT, Fence { m_calls, order.fence });
     if (!result.response.ok())
         co_return result.sent ? OrderOutcome::NoAnswer : OrderOutcome::NotSent;
+    if (isForeign(*result.response))
+        co_return OrderOutcome::NoAnswer;
     co_return outcomeForStatus(result.response->status);
 }
 
@@ -84,7 +93,7 @@
     if (!result.response.ok())
         co_return result.response.status();
     const auto body = parseObject(result.response->body);
-    if (result.response->status != 200 || !body.has_value())
+    if (result.response->status != 200 || !body.has_value() || isForeign(*result.response))
         co_return base::makeError(absl::StatusCode::kUnavailable,
                                   base::concat("status ", result.response->status),
                                   { "engine.report", endpoint });
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -6,6 +6,7 @@
 #include "base/status.h"
 #include "base/text.h"
 #include "process/logging/logging.h"
+#include "request/serverprotocol/ownresponse.h"
 
 namespace nutmegplank::request::forward {
 
@@ -273,9 +274,10 @@
         m_dependencies.protocol.addEnvelope(request, envelope);
         result = co_await exchange(call, **connection, std::move(request), until, sink);
         handle.detach();
-        const auto reusable = result.end == AttemptOutcome::NotRun
+        // A second copy of a refusal must not be taken for the answer to a request that runs once.
+        const auto isUsable = (result.end == AttemptOutcome::NotRun && isRetryable(call.route))
             || (result.end == AttemptOutcome::Answered && result.complete);
-        if (reusable)
+        if (isUsable && !result.skippedOthers)
             pool->release(std::move(*connection), m_dependencies.now());
         else
             (*connection)->close();
@@ -305,15 +307,13 @@
     const auto sent = co_await connection.send(request, remainingTime());
     if (!sent.ok())
         co_return lost(sent);
-    auto head = co_await connection.readHead(remainingTime());
-    if (!head.ok())
-        co_return lost(head.status());
-    const auto metadata = m_dependencies.protocol.readHead(*head);
-    if (!metadata.requestId.empty() && metadata.requestId != call.requestId) {
-        result.detail = "the answer belongs to another request";
-        co_return result;
-    }
-    auto answer = co_await readAnswer(call, connection, std::move(*head), until, sink);
+    auto response = co_await serverprotocol::readOwnResponse(connection, m_dependencies.protocol,
+                                                             call.requestId, remainingTime);
+    if (!response.ok())
+        co_return lost(response.status());
+    const auto &metadata = response->metadata;
+    auto answer = co_await readAnswer(call, connection, std::move(response->head), until, sink);
+    answer.skippedOthers = response->skippedOthers;
     if ((metadata.notRun || metadata.wrongServer) && answer.end == AttemptOutcome::Answered) {
         answer.end = AttemptOutcome::NotRun;
         answer.detail = base::concat("refused with status ", answer.response.status);
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -141,6 +141,7 @@
         //! The connection failed, other than by a timeout, before the head of the answer was read,
         //! so the server may have crashed.
         bool reset = false;
+        bool skippedOthers = false; //!< Answers to other requests arrived first.
         std::string detail;
     };
 
--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -95,6 +95,7 @@
         if (!run.gotHead() || run.runEvents() == 0)
             m_health.noteLost(id, coldStartRule(server.record.service), now);
         return;
+    case RunEnd::Foreign:
     case RunEnd::Malformed:
     case RunEnd::Outdated:
     case RunEnd::Cancelled:
@@ -102,16 +103,4 @@
     }
 }
 
-auto countSpareFastSlots(const std::vector<EngineLoad> &engines, std::size_t waiting) -> std::size_t
-{
-    //! Slower engines are not worth moving a run to.
-    constexpr auto MAX_FAST_SLOWDOWN = 1.4;
-    auto freeSlots = std::size_t(0);
-    for (const auto &engine : engines) {
-        if (engine.slowdown < MAX_FAST_SLOWDOWN && engine.running < engine.slots)
-            freeSlots += std::min(engine.slots - engine.running, engine.startsLeft);
-    }
-    return freeSlots > waiting ? freeSlots - waiting : 0;
-}
-
 } // namespace nutmegplank::request::rollout
--- a/src/request/rollout/engineloadtracker.h
+++ b/src/request/rollout/engineloadtracker.h
@@ -45,9 +45,4 @@
     std::map<std::string, std::uint32_t> m_running; //!< Number of runs by engine id.
 };
 
-//! Free slots at engines of normal speed that remain when all \a waiting items are placed. Moving
-//! more runs away from slow engines would only send items back to those engines.
-auto countSpareFastSlots(const std::vector<EngineLoad> &engines, std::size_t waiting)
-    -> std::size_t;
-
 } // namespace nutmegplank::request::rollout
--- a/src/request/rollout/enginestates.cpp
+++ b/src/request/rollout/enginestates.cpp
@@ -73,6 +73,16 @@
     return found->second.soloIntervalSeconds / m_medianIntervalSeconds;
 }
 
+auto EngineStates::eventInterval(const std::string &engine, std::uint32_t running) const
+    -> base::Duration
+{
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end())
+        return base::Duration(0);
+    const auto seconds = found->second.soloIntervalSeconds * (1.0 + CONCURRENCY_COST * running);
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+}
+
 auto EngineStates::setLoading(const std::string &engine, bool loading) -> void
 {
     m_engines[engine].loading = loading;
--- a/src/request/rollout/enginestates.h
+++ b/src/request/rollout/enginestates.h
@@ -28,6 +28,8 @@
     //! Time per event relative to the median engine, e.g. 2 for half its speed; 1 while there are
     //! too few samples.
     auto slowdown(const std::string &engine) const -> double;
+    //! Usual time between events of a run while \a running runs share the engine; 0 if not known.
+    auto eventInterval(const std::string &engine, std::uint32_t running) const -> base::Duration;
     auto setLoading(const std::string &engine, bool loading) -> void;
     auto loading(const std::string &engine) const -> bool;
     auto forget(const std::string &engine) -> void { m_engines.erase(engine); }
--- a/src/request/rollout/eventreader.cpp
+++ b/src/request/rollout/eventreader.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+//! Largest event in bytes, with all its lines. Events hold a few KB of text; an engine in trouble
+//! may send one without end.
+constexpr auto MAX_EVENT_BYTES = std::size_t(256 * 1024);
+
 auto parseNumber(std::string_view text) -> std::optional<std::uint64_t>
 {
     auto number = std::uint64_t(0);
@@ -26,6 +30,7 @@
          end = m_pendingBytes.find('\n', begin)) {
         auto line = std::string_view(m_pendingBytes).substr(begin, end - begin);
         begin = end + 1;
+        m_eventBytes += line.size();
         if (line.ends_with('\r'))
             line.remove_suffix(1);
         if (!line.empty()) {
@@ -33,6 +38,7 @@
                 return std::nullopt;
             continue;
         }
+        m_eventBytes = 0;
         if (!m_inEvent)
             continue;
         if (!m_hasId)
@@ -42,6 +48,8 @@
         m_inEvent = m_hasId = m_hasData = false;
     }
     m_pendingBytes.erase(0, begin);
+    if (m_pendingBytes.size() + m_eventBytes > MAX_EVENT_BYTES)
+        return std::nullopt;
     return events;
 }
 
--- a/src/request/rollout/eventreader.h
+++ b/src/request/rollout/eventreader.h
@@ -36,7 +36,8 @@
     auto parseLine(std::string_view line) -> bool;
 
     std::string m_versionField;
-    std::string m_pendingBytes; //!< Start of a line whose end has not been read.
+    std::size_t m_eventBytes = 0; //!< Bytes of the lines of m_event.
+    std::string m_pendingBytes;   //!< Start of a line whose end has not been read.
     Event m_event;
     bool m_inEvent = false; //!< At least one field of m_event has been read.
     bool m_hasId = false;
--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -2,6 +2,7 @@
 
 #include "base/status.h"
 #include "process/clock/clock.h"
+#include "request/serverprotocol/ownresponse.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -21,6 +22,11 @@
 constexpr auto STATUS_UNPROCESSABLE = 422U;
 constexpr auto STATUS_SERVER_ERROR = 500U;
 
+auto readTimeout() -> base::Duration
+{
+    return READ_TIMEOUT;
+}
+
 } // namespace
 
 ItemRun::ItemRun(http::Request request, std::string requestId,
@@ -47,8 +53,10 @@
     if (m_cancelled.has_value())
         outcome = *m_cancelled;
     outcome.weightVersion = m_weightVersion;
-    const auto isReusable = outcome.end != RunEnd::Broken && outcome.end != RunEnd::Malformed
-        && outcome.end != RunEnd::Outdated && outcome.end != RunEnd::Cancelled;
+    // A second copy of an error response would look like the response to the item's next run.
+    const auto isReusable = !m_skippedOthers
+        && (outcome.end == RunEnd::Completed || outcome.end == RunEnd::NotRun
+            || outcome.end == RunEnd::WrongServer);
     if (isReusable)
         pool->release(m_connection, process::clock::now());
     else
@@ -62,14 +70,18 @@
     const auto sent = co_await connection.send(m_request, SEND_TIMEOUT);
     if (!sent.ok())
         co_return RunOutcome { RunEnd::Broken, 0, base::describe(sent), {} };
-    const auto head = co_await connection.readHead(READ_TIMEOUT);
-    if (!head.ok())
-        co_return RunOutcome { RunEnd::Broken, 0, base::describe(head.status()), {} };
+    const auto response =
+        co_await serverprotocol::readOwnResponse(connection, m_protocol, m_requestId, readTimeout);
+    if (!response.ok() && response.status().code() == absl::StatusCode::kDataLoss)
+        co_return RunOutcome { RunEnd::Foreign, 0, base::describe(response.status()), {} };
+    if (!response.ok())
+        co_return RunOutcome { RunEnd::Broken, 0, base::describe(response.status()), {} };
     m_gotHead = true;
-    const auto refusal = classifyHead(*head);
+    m_skippedOthers = response->skippedOthers;
+    const auto refusal = classifyHead(response->head, response->metadata);
     if (!refusal.has_value())
         co_return co_await readEvents(connection);
-    while (refusal->end != RunEnd::Malformed) {
+    while (true) {
         const auto part = co_await connection.readBody(REFUSAL_BODY_TIMEOUT);
         if (!part.ok() || !part->has_value())
             break;
@@ -78,11 +90,10 @@
 }
 
 //! nullopt if the response is an event stream that has to be read.
-auto ItemRun::classifyHead(const http::Response &head) -> std::optional<RunOutcome>
+auto ItemRun::classifyHead(const http::Response &head,
+                           const serverprotocol::ResponseMetadata &metadata)
+    -> std::optional<RunOutcome>
 {
-    const auto metadata = m_protocol.readHead(head);
-    if (!metadata.requestId.empty() && metadata.requestId != m_requestId)
-        return RunOutcome { RunEnd::Malformed, head.status, "request id does not match", {} };
     if (head.status == STATUS_OK) {
         m_weightVersion = metadata.weightVersion;
         m_transcript->beginRun(metadata.weightVersion);
--- a/src/request/rollout/itemrun.h
+++ b/src/request/rollout/itemrun.h
@@ -16,6 +16,7 @@
 enum class RunEnd {
     Completed,
     Unreachable, //!< No connection could be made; nothing was sent.
+    Foreign,     //!< Only responses to other requests arrived on the connection.
     NotRun,      //!< The engine refused the item without running it.
     WrongServer, //!< The address belongs to another server, or the weights have another version.
     Failed,      //!< The engine ran the item and returned an error.
@@ -26,9 +27,10 @@
     Cancelled,   //!< Ended by this process, e.g. to move the item to another engine.
 };
 
-constexpr auto RUN_END_NAMES = base::EnumTable<RunEnd, 10> { {
+constexpr auto RUN_END_NAMES = base::EnumTable<RunEnd, 11> { {
     { RunEnd::Completed, "completed" },
     { RunEnd::Unreachable, "unreachable" },
+    { RunEnd::Foreign, "foreign" },
     { RunEnd::NotRun, "not_run" },
     { RunEnd::WrongServer, "wrong_server" },
     { RunEnd::Failed, "failed" },
@@ -51,7 +53,7 @@
 class ItemRun : public std::enable_shared_from_this<ItemRun>
 {
 public:
-    //! A response with a request id other than \a requestId is treated as malformed.
+    //! A response that does not carry \a requestId belongs to another request.
     ItemRun(connection::http::Request request, std::string requestId,
             std::shared_ptr<Transcript> transcript,
             const serverprotocol::IServerProtocol &protocol);
@@ -74,7 +76,9 @@
     auto readEvents(connection::http::IHttpConnection &connection)
         -> boost::asio::awaitable<RunOutcome>;
     auto appendEvents(const std::vector<Event> &events) -> std::optional<RunOutcome>;
-    auto classifyHead(const connection::http::Response &head) -> std::optional<RunOutcome>;
+    auto classifyHead(const connection::http::Response &head,
+                      const serverprotocol::ResponseMetadata &metadata)
+        -> std::optional<RunOutcome>;
 
     connection::http::Request m_request;
     std::string m_requestId;
@@ -87,6 +91,7 @@
     base::TimePoint m_lastProgressAt {};
     std::uint32_t m_runEvents = 0;
     bool m_gotHead = false;
+    bool m_skippedOthers = false; //!< Responses to other requests arrived first.
 };
 
 } // namespace nutmegplank::request::rollout
--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -66,6 +66,18 @@
     return restored;
 }
 
+auto progressOf(const OpenBatch &batch, std::size_t index) -> version::batch::Progress
+{
+    const auto &item = batch.items[index];
+    const auto &transcript = *item.transcript;
+    return { static_cast<std::uint32_t>(index),
+             transcript.lastId(),
+             transcript.eventCount(),
+             transcript.text(),
+             transcript.versions(),
+             item.state == ItemState::Scoring };
+}
+
 auto expectedRemainingTokens(const OpenBatch &batch, std::size_t index) -> std::uint64_t
 {
     const auto &source = batch.submission->items[index];
--- a/src/request/rollout/openbatch.h
+++ b/src/request/rollout/openbatch.h
@@ -32,6 +32,7 @@
     std::string engine;                             //!< Runs the item, or ran it last.
     std::string avoidedEngine;                      //!< The next run prefers any other engine.
     FailureCounts failureCounts;
+    std::uint32_t silentRuns = 0;    //!< Runs that were ended because the engine sent no events.
     std::string score;               //!< Set when the scorer has answered.
     std::uint32_t savedEvents = 0;   //!< In the progress last returned for storage.
     bool savedComplete = false;      //!< That progress said that the text is complete.
@@ -70,6 +71,8 @@
 //! afterwards. Returns the number of restored items.
 auto restoreProgress(OpenBatch &batch, const std::vector<version::batch::Progress> &progress)
     -> std::size_t;
+//! The item's text so far.
+auto progressOf(const OpenBatch &batch, std::size_t index) -> version::batch::Progress;
 //! Estimated number of output tokens that the item still has to generate.
 auto expectedRemainingTokens(const OpenBatch &batch, std::size_t index) -> std::uint64_t;
 
--- a/src/request/rollout/placement.cpp
+++ b/src/request/rollout/placement.cpp
@@ -34,23 +34,6 @@
     });
 }
 
-auto canRunAt(const WaitingItem &item, const EngineLoad &engine) -> bool
-{
-    if (engine.startsLeft == 0 || engine.running >= engine.slots)
-        return false;
-    if (item.route == nullptr || !servesRoute(engine, *item.route))
-        return false;
-    const auto version = engine.modelVersion.find(item.model);
-    if (version == engine.modelVersion.end() || version->second < item.minVersion)
-        return false;
-    // An idle engine may take an item of any size.
-    if (engine.cacheTokens == 0 || engine.running == 0)
-        return true;
-    const auto neededTokens = engine.reservedTokens + item.contextTokens + item.expectedTokens;
-    return static_cast<double>(neededTokens)
-        <= MAX_CACHE_SHARE * static_cast<double>(engine.cacheTokens);
-}
-
 auto newestVersion(const std::string &model, const std::vector<EngineLoad> &engines)
     -> std::uint64_t
 {
@@ -76,6 +59,30 @@
 
 } // namespace
 
+auto canRunAt(const WaitingItem &item, const EngineLoad &engine) -> bool
+{
+    if (engine.startsLeft == 0 || engine.running >= engine.slots)
+        return false;
+    if (item.route == nullptr || !servesRoute(engine, *item.route))
+        return false;
+    const auto version = engine.modelVersion.find(item.model);
+    if (version == engine.modelVersion.end() || version->second < item.minVersion)
+        return false;
+    // An idle engine may take an item of any size.
+    if (engine.cacheTokens == 0 || engine.running == 0)
+        return true;
+    const auto neededTokens = engine.reservedTokens + item.contextTokens + item.expectedTokens;
+    return static_cast<double>(neededTokens)
+        <= MAX_CACHE_SHARE * static_cast<double>(engine.cacheTokens);
+}
+
+auto reserve(const WaitingItem &item, EngineLoad &engine) -> void
+{
+    ++engine.running;
+    --engine.startsLeft;
+    engine.reservedTokens += item.contextTokens + item.expectedTokens;
+}
+
 auto placeItems(std::vector<WaitingItem> waiting, std::vector<EngineLoad> &engines)
     -> std::vector<Assignment>
 {
@@ -98,10 +105,7 @@
         }
         if (best == engines.size())
             continue;
-        auto &engine = engines[best];
-        ++engine.running;
-        --engine.startsLeft;
-        engine.reservedTokens += item.contextTokens + item.expectedTokens;
+        reserve(item, engines[best]);
         assignments.push_back({ item.handle, best });
     }
     return assignments;
--- a/src/request/rollout/placement.h
+++ b/src/request/rollout/placement.h
@@ -43,6 +43,12 @@
     std::size_t engine = 0; //!< Index into the list of engines.
 };
 
+//! Whether \a engine may run \a item now: it serves the item's route with allowed weights, and has
+//! a slot and cache for the item's expected output.
+auto canRunAt(const WaitingItem &item, const EngineLoad &engine) -> bool;
+//! Adds the item's run to the load of \a engine.
+auto reserve(const WaitingItem &item, EngineLoad &engine) -> void;
+
 //! Assigns waiting items to engines. A training step submits all its items at once and can continue
 //! only when the last required one is done, so the longest item determines its duration. Items are
 //! therefore placed by deadline, then longest first, each at the engine with the fewest concurrent
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include "process/logging/logging.h"
+#include "request/rollout/moveplan.h"
 #include "request/rollout/runmonitor.h"
 
 namespace nutmegplank::request::rollout {
@@ -70,6 +71,7 @@
         "rollout.stopped",
         { { "reason", reason }, { "runs", cancelledRuns }, { "batches", m_batches.size() } });
     m_scoring.cancelAll();
+    m_carriedTexts.clear();
     m_batches.clear();
     m_timer.cancel();
 }
@@ -137,6 +139,7 @@
     resolveRoutes(openBatch, table);
     assignGroups(openBatch);
     const auto resumed = restoreProgress(openBatch, progress);
+    const auto carried = restoreProgress(openBatch, takeTexts(openBatch));
     logging::info("rollout.batch_opened",
                   { { "batch", head.id },
                     { "model", head.model },
@@ -145,6 +148,7 @@
                     { "items", batch.itemCount() },
                     { "listed", batch.listedCount },
                     { "resumed", resumed },
+                    { "carried", carried },
                     { "age_ms", age.count() } });
     auto &added = m_batches.emplace(head.id, std::move(openBatch)).first->second;
     for (auto index = std::size_t(0); index < added.items.size(); ++index) {
@@ -161,6 +165,7 @@
         return;
     auto running = std::size_t(0);
     auto waiting = std::size_t(0);
+    keepTexts(found->second);
     for (auto &item : found->second.items) {
         if (item.state == ItemState::Waiting)
             ++waiting;
@@ -180,6 +185,37 @@
     wake();
 }
 
+auto RolloutExecutor::keepTexts(const OpenBatch &batch) -> void
+{
+    const auto &submission = *batch.submission;
+    for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
+        const auto &item = batch.items[index];
+        if (item.state != ItemState::Done)
+            m_carriedTexts.keep(submission.head.workspace, submission.items[index],
+                                progressOf(batch, index), m_dependencies.now());
+    }
+}
+
+auto RolloutExecutor::takeTexts(const OpenBatch &batch) -> std::vector<version::batch::Progress>
+{
+    const auto &submission = *batch.submission;
+    auto texts = std::vector<version::batch::Progress>();
+    for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
+        const auto &item = batch.items[index];
+        if (item.state == ItemState::Done)
+            continue;
+        const auto singleVersion = item.route != nullptr && item.route->singleVersion;
+        auto text =
+            m_carriedTexts.take(submission.head.workspace, submission.items[index],
+                                submission.head.minVersion, singleVersion, m_dependencies.now());
+        if (!text.has_value())
+            continue;
+        text->item = static_cast<std::uint32_t>(index);
+        texts.push_back(std::move(*text));
+    }
+    return texts;
+}
+
 auto RolloutExecutor::collectProgress(std::uint32_t minNewEvents)
     -> std::map<std::string, std::vector<version::batch::Progress>>
 {
@@ -196,9 +232,7 @@
                 continue;
             item.savedEvents = transcript.eventCount();
             item.savedComplete = complete;
-            progressByBatch[id].push_back({ static_cast<std::uint32_t>(index), transcript.lastId(),
-                                            transcript.eventCount(), transcript.text(),
-                                            transcript.versions(), complete });
+            progressByBatch[id].push_back(progressOf(batch, index));
         }
     }
     return progressByBatch;
@@ -246,45 +280,61 @@
 
 auto RolloutExecutor::monitorRuns() -> void
 {
-    auto waiting = std::size_t(0);
-    for (const auto &[id, batch] : m_batches)
-        waiting += static_cast<std::size_t>(
-            std::ranges::count(batch.items, ItemState::Waiting, &OpenItem::state));
-    auto movesLeft = countSpareFastSlots(m_loadTracker.loads(m_dependencies.now()), waiting);
     for (auto &[id, batch] : m_batches) {
-        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-            if (batch.items[index].run != nullptr)
-                monitorRun(batch, index, movesLeft);
+        for (auto &item : batch.items) {
+            if (item.run != nullptr)
+                monitorRun(item);
         }
     }
 }
 
-auto RolloutExecutor::monitorRun(OpenBatch &batch, std::size_t index, std::size_t &movesLeft)
-    -> void
+auto RolloutExecutor::monitorRun(OpenItem &item) -> void
 {
-    auto &item = batch.items[index];
-    const auto now = m_dependencies.now();
     sampleEventInterval(item);
     const auto *server = m_dependencies.servers.find(item.engine);
     auto monitored = MonitoredRun();
-    monitored.silence = now - item.run->lastProgressAt();
-    monitored.runTime = now - item.run->startedAt();
-    monitored.expectedTokens = expectedRemainingTokens(batch, index);
-    monitored.slowdown = m_dependencies.engines.slowdown(item.engine);
+    monitored.silence = m_dependencies.now() - item.run->lastProgressAt();
+    monitored.eventInterval =
+        m_dependencies.engines.eventInterval(item.engine, m_loadTracker.runningAt(item.engine));
+    monitored.earlierSilences = item.silentRuns;
     monitored.loading = m_dependencies.engines.loading(item.engine);
     monitored.zoneOut =
         server != nullptr && m_dependencies.servers.zonesOut().contains(server->record.zone);
     monitored.hasRoute = item.route != nullptr;
-    monitored.alreadyAvoided = item.avoidedEngine == item.engine;
-    const auto movesBefore = movesLeft;
-    const auto termination = checkProgress(monitored, movesLeft);
+    const auto termination = checkProgress(monitored);
     if (!termination.has_value())
         return;
-    if (movesLeft < movesBefore)
-        item.avoidedEngine = item.engine;
+    if (termination->silent)
+        ++item.silentRuns;
     item.run->cancel(termination->end, std::string(termination->reason));
 }
 
+//! Moves items away from slow engines, as far as \a engines have room left for them.
+auto RolloutExecutor::moveRuns(std::vector<EngineLoad> &engines) -> void
+{
+    auto running = std::vector<RunningItem>();
+    auto keys = std::vector<ItemKey>();
+    for (const auto &[id, batch] : m_batches) {
+        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
+            const auto &item = batch.items[index];
+            if (item.run == nullptr || m_dependencies.engines.loading(item.engine))
+                continue;
+            auto entry = RunningItem();
+            entry.item = describeWaiting(batch, index, keys.size());
+            entry.slowdown = m_dependencies.engines.slowdown(item.engine);
+            entry.runTime = m_dependencies.now() - item.run->startedAt();
+            entry.movedBefore = item.avoidedEngine == item.engine;
+            running.push_back(std::move(entry));
+            keys.push_back({ id, index });
+        }
+    }
+    for (const auto handle : planMoves(std::move(running), engines)) {
+        auto &item = m_batches.at(keys[handle].batch).items[keys[handle].item];
+        item.avoidedEngine = item.engine;
+        item.run->cancel(RunEnd::Cancelled, "engine is slow; moving the item");
+    }
+}
+
 //! Samples the event interval of the item's run. The sample starts anew while the engine loads
 //! weights, because the engine then sends no events and this is no slowdown.
 auto RolloutExecutor::sampleEventInterval(OpenItem &item) -> void
@@ -303,26 +353,33 @@
     item.sampledAt = item.run->lastProgressAt();
 }
 
+auto RolloutExecutor::describeWaiting(const OpenBatch &batch, std::size_t index,
+                                      std::size_t handle) const -> WaitingItem
+{
+    const auto &submission = *batch.submission;
+    const auto &item = batch.items[index];
+    auto entry = WaitingItem();
+    entry.handle = handle;
+    entry.model = submission.head.model;
+    entry.minVersion = submission.head.minVersion;
+    entry.expectedTokens = expectedRemainingTokens(batch, index);
+    entry.contextTokens = submission.items[index].promptTokens;
+    entry.dueAt = batch.dueAt;
+    entry.avoidedEngine = item.avoidedEngine;
+    entry.route = item.route;
+    return entry;
+}
+
 auto RolloutExecutor::collectWaiting(std::vector<WaitingItem> &waiting, std::vector<ItemKey> &keys)
     -> void
 {
     const auto now = m_dependencies.now();
     for (const auto &[id, batch] : m_batches) {
-        const auto &submission = *batch.submission;
         for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
             const auto &item = batch.items[index];
             if (item.state != ItemState::Waiting || now < item.notBefore)
                 continue;
-            auto entry = WaitingItem();
-            entry.handle = keys.size();
-            entry.model = submission.head.model;
-            entry.minVersion = submission.head.minVersion;
-            entry.expectedTokens = expectedRemainingTokens(batch, index);
-            entry.contextTokens = submission.items[index].promptTokens;
-            entry.dueAt = batch.dueAt;
-            entry.avoidedEngine = item.avoidedEngine;
-            entry.route = item.route;
-            waiting.push_back(std::move(entry));
+            waiting.push_back(describeWaiting(batch, index, keys.size()));
             keys.push_back({ id, index });
         }
     }
@@ -333,12 +390,15 @@
     auto waiting = std::vector<WaitingItem>();
     auto keys = std::vector<ItemKey>();
     collectWaiting(waiting, keys);
-    if (waiting.empty())
-        return;
     auto engines = m_loadTracker.loads(m_dependencies.now());
+    const auto anySlow = std::ranges::any_of(engines, isSlow);
+    if (waiting.empty() && !anySlow)
+        return;
     reserveRunning(engines);
     for (const auto &assignment : placeItems(std::move(waiting), engines))
         startRun(keys[assignment.handle], engines[assignment.engine]);
+    if (anySlow)
+        moveRuns(engines);
 }
 
 //! Adds the tokens that the running items are expected to need to the load of their engines.
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -12,6 +12,7 @@
 
 #include "connection/backend/backendpools.h"
 #include "process/metrics/metrics.h"
+#include "request/rollout/carriedtexts.h"
 #include "request/rollout/engineloadtracker.h"
 #include "request/rollout/openbatch.h"
 #include "request/scoring/scoringrunner.h"
@@ -90,7 +91,12 @@
     auto finishItem(OpenBatch &batch, std::size_t index, bool lost, std::string_view reason)
         -> void;
     auto monitorRuns() -> void;
-    auto monitorRun(OpenBatch &batch, std::size_t index, std::size_t &movesLeft) -> void;
+    auto monitorRun(OpenItem &item) -> void;
+    auto moveRuns(std::vector<EngineLoad> &engines) -> void;
+    auto describeWaiting(const OpenBatch &batch, std::size_t index, std::size_t handle) const
+        -> WaitingItem;
+    auto keepTexts(const OpenBatch &batch) -> void;
+    auto takeTexts(const OpenBatch &batch) -> std::vector<version::batch::Progress>;
     auto sampleEventInterval(OpenItem &item) -> void;
     auto reserveRunning(std::vector<EngineLoad> &engines) const -> void;
     auto buildRequest(const OpenBatch &batch, std::size_t index, const EngineLoad &engine) const
@@ -103,6 +109,7 @@
     std::map<std::string, OpenBatch> m_batches;
     EngineLoadTracker m_loadTracker;
     scoring::ScoringRunner m_scoring;
+    CarriedTexts m_carriedTexts;
     boost::asio::steady_timer m_timer;
     process::metrics::Counter &m_completed;
     process::metrics::Counter &m_lostItems;
--- a/src/request/rollout/rundecision.cpp
+++ b/src/request/rollout/rundecision.cpp
@@ -42,6 +42,7 @@
     case RunEnd::NotRun:
     case RunEnd::WrongServer:
     case RunEnd::Unreachable:
+    case RunEnd::Foreign:
         return { NextStep::Retry, {}, REFUSED_DELAY };
     case RunEnd::Cancelled:
         return {};
--- a/src/request/rollout/tests/eventreader_tests.cpp
+++ b/src/request/rollout/tests/eventreader_tests.cpp
@@ -45,3 +45,28 @@
     auto reader = EventReader("x-weight-versions");
     EXPECT_FALSE(reader.feed("data: one\n\n").has_value());
 }
+
+//! An engine in trouble sends bytes without end: one line, one event of many lines, or many fields.
+TEST(EventReader, EventReader_EventWithoutEnd_IsMalformedAtALimit)
+{
+    constexpr auto LIMIT = std::size_t(1024 * 1024);
+    for (const auto *repeated : { "x", "data: x\n" }) {
+        auto reader = EventReader("x-weight-versions");
+        auto block = std::string();
+        while (block.size() < 4096)
+            block += repeated;
+        auto fed = std::size_t(0);
+        while (fed < LIMIT && reader.feed(block).has_value())
+            fed += block.size();
+        EXPECT_LT(fed, LIMIT) << repeated;
+    }
+}
+
+//! Comments keep a connection alive; they are no progress, and nothing of them is kept.
+TEST(EventReader, EventReader_Comments_AreNoEvents)
+{
+    auto reader = EventReader("x-weight-versions");
+    for (auto round = 0; round < 1000; ++round)
+        EXPECT_TRUE(reader.feed(": still here\n\n")->empty());
+    EXPECT_TRUE(reader.atBoundary());
+}
--- a/src/request/scoring/scoringcall.cpp
+++ b/src/request/scoring/scoringcall.cpp
@@ -3,6 +3,7 @@
 #include "base/status.h"
 #include "connection/http/httpclient.h"
 #include "process/clock/clock.h"
+#include "request/serverprotocol/ownresponse.h"
 
 namespace nutmegplank::request::scoring {
 
@@ -11,6 +12,8 @@
 namespace asio = boost::asio;
 namespace http = connection::http;
 
+//! A step that begins at the deadline still takes what has already arrived.
+constexpr auto MIN_STEP_TIME = base::Duration(std::chrono::milliseconds(1));
 constexpr auto STATUS_SERVER_ERROR = 500U;
 
 auto isSuccess(std::uint32_t status) -> bool
@@ -57,35 +60,48 @@
     if (!connection.ok())
         co_return CallOutcome { CallEnd::Unreachable, 0, {}, base::describe(connection.status()) };
     m_connection = *connection;
-    const auto request = buildRequest();
-    const auto response = co_await http::exchangeWhole(*m_connection, request, deadline);
-    auto outcome = CallOutcome();
+    auto outcome = co_await exchange(*m_connection, deadline);
     if (m_cancelled)
-        outcome.end = CallEnd::Cancelled;
-    else if (response.ok())
-        outcome = classify(*response);
+        outcome = CallOutcome { CallEnd::Cancelled, 0, {}, {} };
+    // A second copy of an error response would look like the response to the scorer's next call.
+    const auto isReusable =
+        !m_skippedOthers && (outcome.end == CallEnd::Scored || outcome.end == CallEnd::NotRun);
+    if (isReusable)
+        pool->release(m_connection, process::clock::now());
     else
-        outcome.detail = base::describe(response.status());
-    if (outcome.end == CallEnd::Lost || outcome.end == CallEnd::Cancelled)
         m_connection->close();
-    else
-        pool->release(m_connection, process::clock::now());
     m_connection.reset();
     co_return outcome;
 }
 
-//! A response counts only if it names the call: a server may send a second copy of an earlier one.
-auto ScoringCall::classify(const http::Response &response) const -> CallOutcome
+auto ScoringCall::exchange(http::IHttpConnection &connection, base::TimePoint deadline)
+    -> asio::awaitable<CallOutcome>
+{
+    const auto timeLeft = [deadline] {
+        return std::max(MIN_STEP_TIME, deadline - process::clock::now());
+    };
+    const auto request = buildRequest();
+    const auto sent = co_await connection.send(request, timeLeft());
+    if (!sent.ok())
+        co_return CallOutcome { CallEnd::Lost, 0, {}, base::describe(sent) };
+    auto response =
+        co_await serverprotocol::readOwnResponse(connection, m_protocol, m_scorer.id, timeLeft);
+    if (!response.ok())
+        co_return CallOutcome { CallEnd::Lost, 0, {}, base::describe(response.status()) };
+    m_skippedOthers = response->skippedOthers;
+    const auto read = co_await http::readWholeBody(connection, response->head, deadline);
+    if (!read.ok())
+        co_return CallOutcome { CallEnd::Lost, 0, {}, base::describe(read) };
+    co_return classify(response->head, response->metadata);
+}
+
+auto ScoringCall::classify(const http::Response &response,
+                           const serverprotocol::ResponseMetadata &metadata) const -> CallOutcome
 {
-    const auto metadata = m_protocol.readHead(response);
-    if (!metadata.requestId.empty() && metadata.requestId != m_scorer.id)
-        return { CallEnd::Lost, response.status, {}, "request id does not match" };
     if (metadata.wrongServer)
         return { CallEnd::WrongServer, response.status, {}, "another server has the address" };
     if (metadata.notRun)
         return { CallEnd::NotRun, response.status, {}, "refused without being run" };
-    if (metadata.requestId.empty())
-        return { CallEnd::Lost, response.status, {}, "request id is missing" };
     if (isSuccess(response.status) && metadata.fromServer)
         return { CallEnd::Scored, response.status, metadata.stamp, {} };
     if (response.status == STATUS_SERVER_ERROR && metadata.fromServer)
--- a/src/request/scoring/scoringcall.h
+++ b/src/request/scoring/scoringcall.h
@@ -35,7 +35,10 @@
 
 private:
     auto buildRequest() const -> connection::http::Request;
-    auto classify(const connection::http::Response &response) const -> CallOutcome;
+    auto exchange(connection::http::IHttpConnection &connection, base::TimePoint deadline)
+        -> boost::asio::awaitable<CallOutcome>;
+    auto classify(const connection::http::Response &response,
+                  const serverprotocol::ResponseMetadata &metadata) const -> CallOutcome;
 
     version::batch::Scorer m_scorer;
     std::string m_serverId;
@@ -43,6 +46,7 @@
     const serverprotocol::IServerProtocol &m_protocol;
     connection::backend::ConnectionPtr m_connection;
     bool m_cancelled = false;
+    bool m_skippedOthers = false; //!< Responses to other requests arrived first.
 };
 
 } // namespace nutmegplank::request::scoring
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -169,6 +169,20 @@
         resumed = [run for engine in self.world.engines[1:] for run in engine.requests if run["from"] > 0]
         self.assertTrue(resumed)
 
+    def test_items_that_come_again_go_on_from_their_text(self):
+        """A batch is ended before its items are done; a later batch brings the same items."""
+        for engine in self.world.engines:
+            engine.pace = 0.4
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 6), 202)
+        time.sleep(1.4)
+        self.assertEqual(self.world.nodes[1].call("DELETE", "/v1/lots/b1")[0], 200)
+        eventually(lambda: sum(engine.running for engine in self.world.engines) == 0, 3, "ended runs are dropped")
+        self.assertEqual(self.world.submit(self.world.nodes[2], "b2", 6), 202)
+        self.check_results(self.world.wait_results(self.world.nodes[0], "b2", 6), 6)
+        starts = [run["from"] for engine in self.world.engines for run in engine.requests]
+        self.assertEqual(len([start for start in starts if start == 0]), 6)
+        self.assertEqual(len([start for start in starts if start >= 2]), 6)
+
     def test_failing_item_is_given_up_after_its_attempts(self):
         for engine in self.world.engines:
             engine.fail_next = 100
@@ -201,6 +215,23 @@
         for text in (machine.log.read_text() for machine in self.world.nodes):
             self.assertNotIn(KEY, text)
 
+    def test_second_copies_of_answers_reach_no_other_caller(self):
+        """Copies arrive while the connection is idle, while the next request is on its way, and while it is at work."""
+        for server in self.world.plains:
+            server.work = 0.02
+        for delay in (0.0, 0.001, 0.005, 0.015, 0.03):
+            for server in self.world.plains:
+                server.late_copy = delay
+            for path in ("/orders/1", "/once/1"):
+                for number in range(8):
+                    request = f"r-{delay}-{path[1:5]}-{number}"
+                    status, body, headers = self.world.nodes[0].call("POST", path, request.encode(),
+                                                                     headers={"X-Request-Id": request})
+                    self.assertEqual((status, body), (200, b"done:" + request.encode()))
+                    self.assertEqual(headers["X-Request-Id"], request)
+        runs = [run["id"] for server in self.world.plains for run in server.requests if "once" in run["id"]]
+        self.assertEqual(len(runs), len(set(runs)))
+
     def test_unsafe_request_runs_once_when_its_answer_is_lost(self):
         for server in self.world.plains:
             server.crash_on = b"killer"
