Keep reading, serving and running after a malformed message or an unexpected error

Cause, found by fuzzing each decoder: a record of the log with a huge count claimed gigabytes; times of records and configurations could overflow; a batch id that is not UTF-8 was accepted with 202 and could then be read by no machine. An exception of a record's reader ended the reading of that topic for good, and one of a request's handler left an exchange counted for ever, for which a planned stop waited.

Change: counts, times and ids are checked; followers log a record that its reader cannot handle and go on; a session logs its handler's exception and ends alone; coroutines that nobody waits for log what leaves them (LogTaskFailure).

--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -7,6 +7,7 @@
 #include "process/clock/clock.h"
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::app::node {
 
@@ -193,8 +194,9 @@
     m_usage.start();
     if (!m_parts.settings.cloudEndpoint.empty())
         m_scaling.start();
-    asio::co_spawn(m_parts.context, leaseLoop(), asio::detached);
-    asio::co_spawn(m_parts.context, checkpointLoop(), asio::detached);
+    asio::co_spawn(m_parts.context, leaseLoop(), logging::LogTaskFailure("lease.loop"));
+    asio::co_spawn(m_parts.context, checkpointLoop(),
+                   logging::LogTaskFailure("results.checkpoint"));
 }
 
 auto Conductor::leaseLoop() -> asio::awaitable<void>
@@ -226,7 +228,8 @@
         co_return;
     m_sendingLease = true;
     m_leaseSentAt = now;
-    asio::co_spawn(m_parts.context, sendLease(std::move(*action)), asio::detached);
+    asio::co_spawn(m_parts.context, sendLease(std::move(*action)),
+                   logging::LogTaskFailure("lease.send"));
 }
 
 auto Conductor::sendLease(version::leadership::LeaseAction action) -> asio::awaitable<void>
@@ -254,7 +257,8 @@
     if (!fence.has_value() || *fence == m_activeFence || m_activating || m_leaving)
         return;
     m_activating = true;
-    asio::co_spawn(m_parts.context, activate(*fence), asio::detached);
+    asio::co_spawn(m_parts.context, activate(*fence),
+                   logging::LogTaskFailure("conductor.activate"));
 }
 
 auto Conductor::activate(std::uint64_t fence) -> asio::awaitable<void>
@@ -284,7 +288,8 @@
 auto Conductor::openBatch(const Batch &batch) -> void
 {
     if (m_activeFence != 0 && batch.open())
-        asio::co_spawn(m_parts.context, loadBatch(batch.head.id, m_activeFence), asio::detached);
+        asio::co_spawn(m_parts.context, loadBatch(batch.head.id, m_activeFence),
+                       logging::LogTaskFailure("batch.load"));
 }
 
 auto Conductor::loadBatch(std::string batchId, std::uint64_t fence) -> asio::awaitable<void>
--- a/src/app/node/membership.cpp
+++ b/src/app/node/membership.cpp
@@ -7,6 +7,7 @@
 #include "base/text.h"
 #include "process/clock/clock.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::app::node {
 
@@ -47,7 +48,8 @@
 auto Membership::start() -> void
 {
     m_follower.start();
-    asio::co_spawn(m_context, heartbeatLoop(), asio::detached);
+    asio::co_spawn(m_context, heartbeatLoop(),
+                   process::logging::LogTaskFailure("membership.heartbeat"));
 }
 
 auto Membership::setServing(bool serving) -> void
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -11,6 +11,7 @@
 #include "process/clock/clock.h"
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::app::node {
 
@@ -192,7 +193,8 @@
     m_batches.start();
     m_membership.start();
     m_conductor.start();
-    asio::co_spawn(m_runtime.context(), housekeeping(), asio::detached);
+    asio::co_spawn(m_runtime.context(), housekeeping(),
+                   logging::LogTaskFailure("node.housekeeping"));
     return absl::OkStatus();
 }
 
@@ -316,7 +318,7 @@
     m_terminating = true;
     m_membership.setServing(false);
     m_callerServer->announceClose();
-    asio::co_spawn(m_runtime.context(), shutDown(), asio::detached);
+    asio::co_spawn(m_runtime.context(), shutDown(), logging::LogTaskFailure("node.shutdown"));
 }
 
 //! Returns once no call of a caller is under way, not before \a earliest and at \a latest.
--- a/src/app/node/resultwriter.cpp
+++ b/src/app/node/resultwriter.cpp
@@ -5,6 +5,7 @@
 #include "app/node/partitions.h"
 #include "process/clock/clock.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 #include "version/batch/batchcodec.h"
 
 namespace nutmegplank::app::node {
@@ -89,7 +90,7 @@
 auto ResultWriter::startWriting() -> void
 {
     if (!std::exchange(m_writing, true))
-        asio::co_spawn(m_context, writeLoop(m_fence), asio::detached);
+        asio::co_spawn(m_context, writeLoop(m_fence), logging::LogTaskFailure("results.write"));
 }
 
 auto ResultWriter::drain(base::TimePoint until) -> asio::awaitable<void>
--- a/src/app/node/scalingduty.cpp
+++ b/src/app/node/scalingduty.cpp
@@ -5,6 +5,7 @@
 #include "process/clock/clock.h"
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::app::node {
 
@@ -23,7 +24,7 @@
 
 auto ScalingDuty::start() -> void
 {
-    asio::co_spawn(m_parts.context, dutyLoop(), asio::detached);
+    asio::co_spawn(m_parts.context, dutyLoop(), process::logging::LogTaskFailure("scaling.duty"));
 }
 
 auto ScalingDuty::dutyLoop() -> asio::awaitable<void>
--- a/src/app/node/usageduty.cpp
+++ b/src/app/node/usageduty.cpp
@@ -6,6 +6,7 @@
 #include "process/clock/clock.h"
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::app::node {
 
@@ -46,8 +47,8 @@
 auto UsageDuty::start() -> void
 {
     m_follower.start();
-    asio::co_spawn(m_parts.context, countLoop(), asio::detached);
-    asio::co_spawn(m_parts.context, dutyLoop(), asio::detached);
+    asio::co_spawn(m_parts.context, countLoop(), logging::LogTaskFailure("usage.count"));
+    asio::co_spawn(m_parts.context, dutyLoop(), logging::LogTaskFailure("usage.duty"));
 }
 
 auto UsageDuty::countRun(const std::string &workspace) -> void
--- a/src/connection/http/internal/httpsession.cpp
+++ b/src/connection/http/internal/httpsession.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/ssl.hpp>
 
 #include "base/text.h"
+#include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::connection::http {
 
@@ -185,6 +187,24 @@
     co_await respond(jsonResponse(status, body));
 }
 
+//! An exception of the handler ends this connection alone.
+template <typename Stream>
+auto HttpSession<Stream>::handle(Request request) -> asio::awaitable<void>
+{
+    auto failure = std::exception_ptr();
+    try {
+        co_await m_host->handler(std::move(request), *this);
+        co_return;
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    process::logging::error(
+        "http.handler_failed",
+        { { "peer", m_peer }, { "problem", process::logging::describeException(failure) } });
+    m_finished = false;
+    abort();
+}
+
 template <typename Stream>
 auto HttpSession<Stream>::run() -> asio::awaitable<void>
 {
@@ -195,7 +215,7 @@
         ++m_host->exchanges;
         auto request = co_await readRequest();
         if (request.has_value())
-            co_await m_host->handler(std::move(*request), *this);
+            co_await handle(std::move(*request));
         stopWatching();
         --m_host->exchanges;
         if (!request.has_value() || !m_finished)
--- a/src/connection/http/internal/httpsession.h
+++ b/src/connection/http/internal/httpsession.h
@@ -64,6 +64,7 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    auto handle(Request request) -> boost::asio::awaitable<void>;
     auto readRequest() -> boost::asio::awaitable<std::optional<Request>>;
     auto refuse(boost::beast::error_code error) -> boost::asio::awaitable<void>;
     auto waitForFirstByte() -> boost::asio::awaitable<bool>;
--- a/src/connection/http/tests/http_tests.cpp
+++ b/src/connection/http/tests/http_tests.cpp
@@ -33,6 +33,8 @@
                     responder.abort();
                     co_return;
                 }
+                if (request.target == "/throw")
+                    throw std::runtime_error("unexpected");
                 if (request.target == "/stream") {
                     co_await responder.startStream(Response());
                     co_await responder.writeChunk("one,");
@@ -98,6 +100,15 @@
     EXPECT_FALSE(ask({ "GET", "/cut", {}, "", "" }).ok());
 }
 
+//! An unexpected error in one handler must neither end the process nor keep a planned stop waiting
+//! for an exchange that is over.
+TEST_F(HttpTest, Http_HandlerThrows_EndsThatConnectionAlone)
+{
+    EXPECT_FALSE(ask({ "GET", "/throw", {}, "", "" }).ok());
+    EXPECT_TRUE(ask({ "GET", "/", {}, "", "" }).ok());
+    EXPECT_EQ(m_server->activeExchanges(), 0U);
+}
+
 TEST_F(HttpTest, Http_Server_RefusesOversizedBodyAndHeader)
 {
     EXPECT_EQ(ask({ "POST", "/", {}, std::string(2000, 'x'), "" })->status, 413U);
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -1,5 +1,6 @@
 #include "platform/callprotocol.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/json.hpp>
@@ -68,6 +69,11 @@
                            { "batch.read", call.requestId });
 }
 
+auto isVisibleAscii(std::string_view text) -> bool
+{
+    return std::ranges::all_of(text, [](char byte) { return byte > ' ' && byte < '\x7f'; });
+}
+
 auto itemHeader(const version::batch::Item &item, std::string_view name) -> std::string
 {
     return http::headerValue(item.headers, name);
@@ -154,6 +160,9 @@
     if (!object.has_value())
         return malformedSubmission(call, "the body is no JSON object");
     const auto *items = arrayField(*object, "items");
+    // Ids and paths become text fields of log records, which cannot be read if they are not UTF-8.
+    if (!isVisibleAscii(call.requestId) || !isVisibleAscii(call.path) || !isVisibleAscii(call.host))
+        return malformedSubmission(call, "X-Request-Id, path and Host must be visible ASCII");
     if (call.requestId.empty() || items == nullptr || items->empty())
         return malformedSubmission(call, "a batch needs X-Request-Id and a list \"items\"");
     auto submission = version::batch::Submission();
--- a/src/platform/operatorrecords.cpp
+++ b/src/platform/operatorrecords.cpp
@@ -1,5 +1,6 @@
 #include "platform/operatorrecords.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "base/hash.h"
@@ -31,16 +32,19 @@
     { RouteKind::Rollout, "rollout" },
 } };
 
+//! Longer times are malformed and would overflow.
+constexpr auto MAX_SECONDS = 1e9;
+
 auto durationFromSeconds(double value) -> base::Duration
 {
-    return base::Duration(std::llround(value * 1e6));
+    return base::Duration(std::llround(std::clamp(value, 0.0, MAX_SECONDS) * 1e6));
 }
 
 auto millisecondsField(const json::object &object, std::string_view name, base::Duration fallback)
     -> base::Duration
 {
     const auto value = numberField(object, name);
-    return value.has_value() ? base::Duration(std::llround(*value * 1e3)) : fallback;
+    return value.has_value() ? durationFromSeconds(*value / 1e3) : fallback;
 }
 
 auto readRoute(const json::object &object) -> std::optional<Route>
--- a/src/platform/serverrecords.cpp
+++ b/src/platform/serverrecords.cpp
@@ -17,6 +17,9 @@
     { ServerState::Draining, "draining" },
 } };
 
+//! No server is cold for longer; larger numbers are malformed and would overflow.
+constexpr auto MAX_COLD_MS = std::uint64_t(3'600'000);
+
 } // namespace
 
 auto readModelVersions(const boost::json::object &object) -> std::map<std::string, std::uint64_t>
@@ -63,8 +66,8 @@
     record.zone = *zone;
     record.state = *state;
     record.slots = static_cast<std::uint32_t>(*slots);
-    record.coldFor =
-        std::chrono::milliseconds(unsignedField(*object, "cold_remaining_ms").value_or(0));
+    record.coldFor = std::chrono::milliseconds(
+        std::min(unsignedField(*object, "cold_remaining_ms").value_or(0), MAX_COLD_MS));
     // "sequence" counts heartbeats here, but accepted orders in an engine's report; it is not read.
     // "born" is the start time of the server in Unix milliseconds.
     record.incarnation = static_cast<std::int64_t>(unsignedField(*object, "born").value_or(0));
--- a/src/platform/tests/callprotocol_tests.cpp
+++ b/src/platform/tests/callprotocol_tests.cpp
@@ -89,6 +89,20 @@
         EXPECT_FALSE(protocol.readSubmission(call, body).ok()) << body;
 }
 
+//! Records of the log with text that is not UTF-8 cannot be read back: the batch would be accepted
+//! and lost.
+TEST(CallProtocol, CallProtocol_SubmissionIdThatIsNoText_IsRejected)
+{
+    const auto protocol = CallProtocol();
+    constexpr auto BODY = R"({"items":[{"id":"i1","path":"/p/1","body":""}]})";
+    auto request = makeRequest("POST", "/p/r1");
+    EXPECT_TRUE(protocol.readSubmission(protocol.readCall(request), BODY).ok());
+    request.headers[2].value = "r\xff\xfe";
+    EXPECT_FALSE(protocol.readSubmission(protocol.readCall(request), BODY).ok());
+    request = makeRequest("POST", "/p/\xff");
+    EXPECT_FALSE(protocol.readSubmission(protocol.readCall(request), BODY).ok());
+}
+
 TEST(CallProtocol, CallProtocol_ForwardedRequest_DropsKeyAndKeepsHost)
 {
     const auto forwarded = CallProtocol().toServerRequest(makeRequest("POST", "/p/1"));
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 #include "request/rollout/moveplan.h"
 #include "request/rollout/runmonitor.h"
 
@@ -50,7 +51,7 @@
         return;
     m_active = true;
     ++m_generation;
-    asio::co_spawn(m_dependencies.context, tickLoop(), asio::detached);
+    asio::co_spawn(m_dependencies.context, tickLoop(), logging::LogTaskFailure("rollout.tick"));
 }
 
 auto RolloutExecutor::stop(std::string_view reason) -> void
@@ -463,7 +464,8 @@
     logPlacement(key, engine, *server);
     m_loadTracker.noteStart(engine.id, m_dependencies.now());
     m_runs.add();
-    asio::co_spawn(m_dependencies.context, runItem(key, item.run, *server), asio::detached);
+    asio::co_spawn(m_dependencies.context, runItem(key, item.run, *server),
+                   logging::LogTaskFailure("rollout.run"));
 }
 
 auto RolloutExecutor::logPlacement(const ItemKey &key, const EngineLoad &engine,
--- a/src/request/scoring/scoringrunner.cpp
+++ b/src/request/scoring/scoringrunner.cpp
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::request::scoring {
 
@@ -161,7 +162,8 @@
     state.coldRule = coldStartRule(table, server.service);
     m_dependencies.health.noteStart(server.id, now);
     m_calls.add();
-    asio::co_spawn(m_dependencies.context, runCall(key, entry.call, *known), asio::detached);
+    asio::co_spawn(m_dependencies.context, runCall(key, entry.call, *known),
+                   logging::LogTaskFailure("scoring.call"));
 }
 
 auto ScoringRunner::runCall(ScoringKey key, std::shared_ptr<ScoringCall> call, Server server)
--- a/src/version/batch/internal/batchcodec.cpp
+++ b/src/version/batch/internal/batchcodec.cpp
@@ -6,6 +6,9 @@
 
 //! Space reserved in a record for all fields other than the part's data.
 constexpr auto ENVELOPE_BYTES = std::size_t(512);
+//! Far above the parts of the largest submission. A malformed count must not claim the machine's
+//! memory.
+constexpr auto MAX_PARTS = 10'000U;
 
 auto toMessage(const Submission &submission) -> record::Submission
 {
@@ -178,7 +181,8 @@
     if (!message.ParseFromString(data) || !message.has_part())
         return;
     const auto &part = message.part();
-    if (part.batch_id() != m_batchId || part.attempt() != m_attempt || part.index() >= part.count())
+    if (part.batch_id() != m_batchId || part.attempt() != m_attempt || part.index() >= part.count()
+        || part.count() > MAX_PARTS)
         return;
     m_parts.resize(part.count());
     if (!m_parts[part.index()].empty())
--- a/src/version/batch/internal/batchlog.cpp
+++ b/src/version/batch/internal/batchlog.cpp
@@ -6,6 +6,13 @@
 
 namespace logging = process::logging;
 
+namespace {
+
+//! Far above the largest batch. A malformed count must not claim the machine's memory.
+constexpr auto MAX_ITEMS = 1'000'000U;
+
+} // namespace
+
 auto BatchLog::apply(const journal::Record &record) -> void
 {
     auto message = record::IndexRecord();
@@ -37,6 +44,11 @@
     // Two machines may have accepted the same batch; the first record in the log wins.
     if (m_batches.contains(accepted.id()))
         return;
+    if (accepted.item_count() > MAX_ITEMS) {
+        logging::error("batch.malformed_record",
+                       { { "batch", accepted.id() }, { "items", accepted.item_count() } });
+        return;
+    }
     auto batch = std::make_unique<Batch>();
     auto &head = batch->head;
     head.id = accepted.id();
--- a/src/version/journal/follower.cpp
+++ b/src/version/journal/follower.cpp
@@ -6,6 +6,7 @@
 #include "process/clock/clock.h"
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::version::journal {
 
@@ -15,6 +16,22 @@
 namespace logging = process::logging;
 using process::clock::pauseFor;
 
+//! A record that its reader cannot handle must not end the reading of all later ones.
+template <typename Record>
+auto deliver(const std::function<void(const Record &, base::TimePoint)> &onRecord,
+             const Record &record, const Partition &partition, base::TimePoint now) -> void
+{
+    try {
+        onRecord(record, now);
+    } catch (...) {
+        logging::error("journal.record_failed",
+                       { { "topic", partition.topic },
+                         { "partition", partition.number },
+                         { "offset", record.offset },
+                         { "problem", logging::describeException(std::current_exception()) } });
+    }
+}
+
 } // namespace
 
 Follower::Follower(asio::io_context &context, IJournal &journal, FollowerOptions options,
@@ -30,7 +47,7 @@
 auto Follower::start(std::uint64_t from) -> void
 {
     m_position = from;
-    asio::co_spawn(m_context, run(), asio::detached);
+    asio::co_spawn(m_context, run(), logging::LogTaskFailure("journal.follow"));
 }
 
 auto Follower::run() -> asio::awaitable<void>
@@ -81,7 +98,7 @@
     for (const auto &record : page.records) {
         // Advance the position before the hook runs, since the hook may read it.
         m_position = record.offset + 1;
-        m_hooks.onRecord(record, now);
+        deliver(m_hooks.onRecord, record, m_options.partition, now);
     }
     m_caughtUp = m_position >= page.end;
 }
@@ -97,7 +114,7 @@
 
 auto KeyedFollower::start() -> void
 {
-    asio::co_spawn(m_context, run(), asio::detached);
+    asio::co_spawn(m_context, run(), logging::LogTaskFailure("journal.follow"));
 }
 
 auto KeyedFollower::run() -> asio::awaitable<void>
@@ -125,7 +142,7 @@
     auto keys = std::set<std::string>();
     for (const auto &record : snapshot->records) {
         keys.insert(record.key);
-        m_hooks.onRecord(record, now);
+        deliver(m_hooks.onRecord, record, m_options.partition, now);
     }
     m_position = snapshot->end;
     m_complete = true;
@@ -151,7 +168,7 @@
         m_position = record.offset + 1;
         const auto keyed = parseKeyedRecord(record);
         if (keyed.has_value())
-            m_hooks.onRecord(*keyed, now);
+            deliver(m_hooks.onRecord, *keyed, m_options.partition, now);
         else
             logging::warning(
                 "journal.malformed_record",
--- a/src/version/waves/waverunner.cpp
+++ b/src/version/waves/waverunner.cpp
@@ -4,6 +4,7 @@
 
 #include "base/status.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 
 namespace nutmegplank::version::waves {
 
@@ -51,7 +52,7 @@
 
 auto WaveRunner::start() -> void
 {
-    asio::co_spawn(m_context, loop(), asio::detached);
+    asio::co_spawn(m_context, loop(), logging::LogTaskFailure("weights.loop"));
 }
 
 auto WaveRunner::loop() -> asio::awaitable<void>
@@ -102,7 +103,7 @@
         if (open.checking || now < open.nextCheck)
             continue;
         open.checking = true;
-        asio::co_spawn(m_context, checkOrder(*found), asio::detached);
+        asio::co_spawn(m_context, checkOrder(*found), logging::LogTaskFailure("weights.check"));
     }
     for (const auto &id : finished)
         closeOrder(id, "completed, or the engine was removed or restarted", base::Duration(0));
@@ -137,7 +138,8 @@
         const auto paused = retryDelay != m_retryAfter.end() && now < retryDelay->second;
         entry.orderable = known && engine.reachable && !paused;
         if (!known && engine.reachable && !paused && m_fetchingAccepted.insert(engine.id).second)
-            asio::co_spawn(m_context, fetchAcceptedOrders(engine), asio::detached);
+            asio::co_spawn(m_context, fetchAcceptedOrders(engine),
+                           logging::LogTaskFailure("weights.report"));
         inputs[engine.service].engines.push_back(std::move(entry));
     }
     for (auto &[service, input] : inputs) {
@@ -159,7 +161,8 @@
             m_openOrders[engine->id] =
                 OpenOrder { order, engine->incarnation, now, now + FIRST_CHECK_DELAY };
             m_hooks.onLoading(engine->id, true);
-            asio::co_spawn(m_context, send(*engine, std::move(order)), asio::detached);
+            asio::co_spawn(m_context, send(*engine, std::move(order)),
+                           logging::LogTaskFailure("weights.send"));
         }
     }
 }
