Read the configuration again after a pause, and limit the size of answers

Cause, endless answers: bodies were kept up to 64 MB each.

Change: a process whose event loop stood still for 0.9 s reads the operators' records again before it handles a call, for 0.4 s at most; without an answer the log counts as unavailable, as before. Answers of backend servers are limited to 4 MB, of the store to 8 MB, of the platform to 64 KB.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -5,6 +5,7 @@
 #include "base/status.h"
 #include "base/text.h"
 #include "process/clock/clock.h"
+#include "process/clock/pause.h"
 #include "process/logging/logging.h"
 
 namespace nutmegplank::app::node {
@@ -41,6 +42,10 @@
 constexpr auto QUARANTINED_RETRY = std::chrono::seconds(60);
 //! Before a configuration is known; it is read within a second of the start.
 constexpr auto START_RETRY = std::chrono::milliseconds(400);
+//! A paused process waits this long for the configuration; then the log counts as unavailable, and
+//! the last known configuration holds.
+constexpr auto RESUME_TIME = std::chrono::milliseconds(400);
+constexpr auto RESUME_CHECK = std::chrono::milliseconds(5);
 constexpr auto STATUS_OK = 200U;
 constexpr auto FIRST_ERROR = 400U;
 
@@ -150,8 +155,11 @@
 auto CallService::handle(http::Request request, http::IHttpResponder &responder)
     -> asio::awaitable<void>
 {
+    const auto receivedAt = process::clock::now();
+    while (m_parts.resuming() && process::clock::now() - receivedAt < RESUME_TIME)
+        co_await process::clock::pauseFor(RESUME_CHECK);
     auto exchange = Exchange { m_parts.protocol.readCall(request), m_parts.routing() };
-    exchange.receivedAt = process::clock::now();
+    exchange.receivedAt = receivedAt;
     const version::routing::Route *route = nullptr;
     const auto isRequest = exchange.call.kind == CallKind::Request;
     if (exchange.table != nullptr && isRequest) {
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -27,6 +27,8 @@
     std::function<version::routing::RoutingTablePtr()> routing;
     //! Whether the list of backend servers has been read since the start.
     std::function<bool()> serversKnown;
+    //! Whether this process was paused and reads the configuration again before it acts on it.
+    std::function<bool()> resuming;
 };
 
 //! Answers callers.
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -29,6 +29,8 @@
 constexpr auto SERVER_READ_PAUSE = std::chrono::milliseconds(400);
 constexpr auto LOOK_FOR_QUIET = std::chrono::milliseconds(50);
 constexpr auto HOUSEKEEPING = std::chrono::milliseconds(100);
+//! A process that did nothing for this long was paused; a slow machine's loop takes less.
+constexpr auto PAUSE_LIMIT = std::chrono::milliseconds(900);
 //! Callers keep the directory's answer for this long, some three times as long.
 constexpr auto DIRECTORY_TTL = std::chrono::seconds(2);
 //! Share of the time until SIGKILL for which a process in charge waits for a log that is away; then
@@ -48,12 +50,15 @@
 constexpr auto USER_TIMEOUT = std::chrono::milliseconds(3000);
 constexpr auto IDLE_CONNECTION = std::chrono::seconds(8);
 constexpr auto MOST_IDLE = std::size_t(32);
+//! Twenty servers that answer without end must fit into the smallest VM's memory, 160 MB.
+constexpr auto MAX_ANSWER_BYTES = std::uint64_t(4 * 1024 * 1024);
 
 auto poolOptions() -> connection::backend::BackendPoolOptions
 {
     auto options = connection::backend::BackendPoolOptions();
     options.connect.timeout = CONNECT_TIME;
     options.connect.userTimeout = USER_TIMEOUT;
+    options.connect.bodyBytes = MAX_ANSWER_BYTES;
     options.idleTime = IDLE_CONNECTION;
     options.mostIdle = MOST_IDLE;
     return options;
@@ -104,7 +109,11 @@
     , m_relay([this] { return m_membership.peers(process::clock::now()); }, m_metrics)
     , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_relay, m_trueTime,
                 m_metrics, [this] { return m_routing.load(); },
-                [this] { return m_serverFollower.complete(); } })
+                [this] { return m_serverFollower.complete(); },
+                [this] {
+                    checkPause(process::clock::now());
+                    return m_resuming;
+                } })
 { }
 
 auto Node::callerLimits() const -> http::ServerLimits
@@ -291,13 +300,39 @@
     m_servers.update(std::move(*server), record.offset, now);
 }
 
+auto Node::checkPause(base::TimePoint now) -> void
+{
+    const auto gap = now - std::exchange(m_lastTick, now);
+    if (gap < PAUSE_LIMIT || m_resuming)
+        return;
+    logging::warning("node.resumed", { { "paused_ms", base::toMilliseconds(gap) } });
+    m_resuming = true;
+    asio::co_spawn(m_runtime.context(), readConfigurationAgain(),
+                   logging::LogTaskFailure("node.resume"));
+}
+
+//! What operators changed during a pause holds before the next call is handled. Answers to reads
+//! that were sent before the pause may be as old as the pause itself.
+auto Node::readConfigurationAgain() -> asio::awaitable<void>
+{
+    const auto snapshot = co_await m_store.newest(platform::OPERATOR_TOPIC);
+    const auto now = process::clock::now();
+    if (snapshot.ok()) {
+        for (const auto &record : snapshot->records)
+            applyOperatorRecord(record, now);
+    }
+    m_resuming = false;
+}
+
 auto Node::housekeeping() -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(m_runtime.context());
+    m_lastTick = process::clock::now();
     while (true) {
         timer.expires_after(HOUSEKEEPING);
         co_await timer.async_wait(USE_TUPLE);
         const auto now = process::clock::now();
+        checkPause(now);
         logging::flush();
         m_servers.expire(now);
         m_suspects.expire(now);
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -43,6 +43,9 @@
     auto isReady() const -> bool;
     auto listen(connection::http::HttpServer &server, const std::string &endpoint) -> absl::Status;
     auto makeServers() -> void;
+    //! Detects that this process was paused, e.g. with its machine.
+    auto checkPause(base::TimePoint now) -> void;
+    auto readConfigurationAgain() -> boost::asio::awaitable<void>;
     auto housekeeping() -> boost::asio::awaitable<void>;
     auto waitForQuiet(base::TimePoint earliest, base::TimePoint latest)
         -> boost::asio::awaitable<void>;
@@ -81,6 +84,8 @@
     std::unique_ptr<connection::http::HttpServer> m_directoryServer;
     std::unique_ptr<connection::http::HttpServer> m_readinessServer;
     std::unique_ptr<connection::http::HttpServer> m_metricsServer;
+    base::TimePoint m_lastTick {}; //!< Of housekeeping.
+    bool m_resuming = false;       //!< Paused a moment ago; the configuration is being read again.
     bool m_terminating = false;
 };
 
--- a/src/platform/platformduties.cpp
+++ b/src/platform/platformduties.cpp
@@ -17,6 +17,7 @@
 
 //! Allows for a platform that responds fifty times slower than usual.
 constexpr auto CALL_TIMEOUT = std::chrono::milliseconds(1500);
+constexpr auto MAX_ANSWER_BYTES = std::uint64_t(64 * 1024);
 constexpr auto CONNECT_TIMEOUT = std::chrono::milliseconds(700);
 
 auto outcomeForStatus(std::uint32_t status) -> DutyOutcome
@@ -44,6 +45,7 @@
 {
     auto options = connection::backend::BackendPoolOptions();
     options.connect.timeout = CONNECT_TIMEOUT;
+    options.connect.bodyBytes = MAX_ANSWER_BYTES;
     m_pool = std::make_shared<connection::backend::BackendPool>(std::move(endpoint), options);
 }
 
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -21,6 +21,8 @@
 constexpr auto NEWEST_TIMEOUT = journal::ReadTimes().grace;
 constexpr auto USER_TIMEOUT = std::chrono::milliseconds(2500);
 constexpr auto MAX_READ_KILOBYTES = 1024;
+//! A page of MAX_READ_KILOBYTES may exceed them by one record; some reads run at a time.
+constexpr auto MAX_ANSWER_BYTES = std::uint64_t(8 * 1024 * 1024);
 //! Delay before a snapshot page that got status 429 is requested again. The random part spreads the
 //! retries of machines that started together.
 constexpr auto RETRY_PAUSE = std::chrono::milliseconds(100);
@@ -117,6 +119,7 @@
     auto options = connection::backend::BackendPoolOptions();
     options.connect.timeout = CONNECT_TIMEOUT;
     options.connect.userTimeout = USER_TIMEOUT;
+    options.connect.bodyBytes = MAX_ANSWER_BYTES;
     m_pool = std::make_shared<connection::backend::BackendPool>(m_endpoint, options);
 }
 
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -15,6 +15,8 @@
 CONFIGURATION_BOUND = 2.0
 DRAIN_BOUND = 2.0
 LEASE_TERM = 1.5
+#: Memory of the smallest machine of the users' deployments.
+SMALLEST_MACHINE_MB = 160
 GRACE = 8
 #: The longest read of a machine that asks while a caller waits, and a batch kept.
 NOTICE_BOUND = 1.0
@@ -27,6 +29,7 @@
 
     def options(self):
         return {"test_settings_that_are_wrong_end_the_start": {"nodes": 1},
+                "test_endless_answers_fit_into_the_memory_of_the_smallest_machine": {"plains": 20},
                 "test_peers_that_check_no_fences_see_holders_in_order": {"peers_check_fences": False},
                 }.get(self._testMethodName, {})
 
@@ -259,6 +262,48 @@
             eventually(lambda: node.call("POST", "/orders/1")[0] == 401, CONFIGURATION_BOUND, "the key withdrawn")
             self.assertEqual(node.call("POST", "/orders/1", key="key-two")[0], 200)
 
+    def test_endless_answers_fit_into_the_memory_of_the_smallest_machine(self):
+        node = self.world.nodes[0]
+        for server in self.world.plains:
+            server.endless = True
+        statuses = []
+
+        def call(number):
+            statuses.append(node.call("POST", f"/orders/{number}", headers={"X-Deadline-Ms": "1500"})[0])
+
+        for _ in range(3):
+            callers = [threading.Thread(target=call, args=(number,)) for number in range(20)]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join(5)
+        self.assertEqual(len(statuses), 60)
+        self.assertFalse({200, 503, 429} & set(statuses[:20]), statuses)
+        with open(f"/proc/{node.popen.pid}/status", encoding="ascii") as status:
+            peak = next(int(line.split()[1]) for line in status if line.startswith("VmHWM:")) / 1024
+        self.assertLess(peak, SMALLEST_MACHINE_MB)
+
+    def test_paused_machine_acts_on_no_key_that_was_withdrawn_meanwhile(self):
+        """The request and the news of the withdrawal both wait for the machine when it wakes."""
+        node = self.world.nodes[0]
+        statuses = []
+        for number in range(6):
+            key = f"short-lived-{number}"
+            self.world.keys = [KEY, key]
+            self.world.configure()
+            eventually(lambda: node.call("POST", "/orders/1", key=key)[0] == 200, CONFIGURATION_BOUND, "the new key")
+            node.signal(signal.SIGSTOP)
+            time.sleep(0.2)
+            call = threading.Thread(target=lambda: statuses.append(node.call("POST", "/orders/1", key=key)[0]))
+            call.start()
+            time.sleep(0.2)
+            self.world.keys = [KEY]
+            self.world.configure()
+            time.sleep(1.2)
+            node.signal(signal.SIGCONT)
+            call.join(5)
+        self.assertEqual(statuses, [401] * 6)
+
     def test_unreadable_configuration_changes_nothing(self):
         self.world.store.put("keyed.op", "config", {"version": 99})
         time.sleep(0.5)
--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -58,6 +58,7 @@
     work = 0.01
     crash_on: bytes | None = None
     late_copy: float | None = None
+    endless = False  #: Its answers have no end.
 
     async def serve(self, request: Request) -> Answer:
         self.requests.append({"id": request.headers.get("x-request-id"), "headers": request.headers,
@@ -65,8 +66,15 @@
         await asyncio.sleep(self.work)
         if self.crash_on is not None and request.body == self.crash_on:
             raise Reset
+        if self.endless:
+            return Answer(200, self.stamp(request), chunks=self.bytes_without_end())
         return Answer(200, self.stamp(request), b"done:" + request.body, late_copy=self.late_copy)
 
+    @staticmethod
+    async def bytes_without_end():
+        while True:
+            yield b"x" * 65536
+
 
 class ScorerBackend(Backend):
     """Rates texts. Each call gets a stamp of its own; `work` is in seconds. `fail_for` names bodies that always get
