Notice a killed process by the refusal of its system

Change: the gossip socket asks for errors of sent datagrams. A port without a process on a live system means that its member is dead, and is known at the next probe; a silent system is noticed as before.

--- a/src/process/membership/internal/gossipmembership.cpp
+++ b/src/process/membership/internal/gossipmembership.cpp
@@ -1,7 +1,13 @@
 #include "process/membership/internal/gossipmembership.h"
 
+#include <linux/errqueue.h>
+#include <netinet/in.h>
+
+#include <cstring>
+
 #include "base/hash.h"
 #include "base/status.h"
+#include "base/text.h"
 #include "process/clock/clock.h"
 #include "process/logging/logging.h"
 #include "process/membership/internal/majorityrule.h"
@@ -13,6 +19,7 @@
 
 namespace asio = boost::asio;
 
+constexpr auto ERROR_CONTROL_BYTES = std::size_t(512);
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 constexpr auto LARGEST_DATAGRAM = std::size_t(1400);
 constexpr auto NEWS_PER_DATAGRAM = std::size_t(6);
@@ -58,6 +65,11 @@
         m_socket.open(endpoint->protocol(), error);
     if (!error)
         m_socket.bind(*endpoint, error);
+    // Without refusals a dead member is noticed by its silence, which takes longer.
+    using ReceiveErrors = asio::detail::socket_option::boolean<IPPROTO_IP, IP_RECVERR>;
+    auto ignored = boost::system::error_code();
+    if (!error)
+        m_socket.set_option(ReceiveErrors(true), ignored);
     if (error)
         return base::makeError(absl::StatusCode::kUnavailable, error.message(),
                                { "membership.bind", m_options.self.gossipAddress });
@@ -131,6 +143,8 @@
             co_await m_socket.async_receive_from(asio::buffer(buffer), from, USE_TUPLE);
         if (error == asio::error::operation_aborted)
             co_return;
+        if (error)
+            readRefusals(clock::now());
         m_receivedBytes += size;
         auto datagram = gossip::Datagram();
         if (!error && datagram.ParseFromArray(buffer.data(), static_cast<int>(size)))
@@ -138,6 +152,35 @@
     }
 }
 
+auto GossipMembership::readRefusals(base::TimePoint now) -> void
+{
+    auto changed = false;
+    while (true) {
+        auto address = sockaddr_in();
+        auto control = std::array<char, ERROR_CONTROL_BYTES>();
+        auto message = msghdr();
+        message.msg_name = &address;
+        message.msg_namelen = sizeof(address);
+        message.msg_control = control.data();
+        message.msg_controllen = control.size();
+        if (::recvmsg(m_socket.native_handle(), &message, MSG_ERRQUEUE | MSG_DONTWAIT) < 0)
+            break;
+        const auto *header = CMSG_FIRSTHDR(&message);
+        if (header == nullptr || header->cmsg_level != IPPROTO_IP
+            || header->cmsg_type != IP_RECVERR)
+            continue;
+        auto error = sock_extended_err();
+        std::memcpy(&error, CMSG_DATA(header), sizeof(error));
+        if (error.ee_errno != ECONNREFUSED)
+            continue;
+        const auto host = asio::ip::address_v4(ntohl(address.sin_addr.s_addr)).to_string();
+        changed =
+            m_table.confirmGone(base::concat(host, ":", ntohs(address.sin_port)), now) || changed;
+    }
+    if (changed)
+        publish();
+}
+
 auto GossipMembership::handle(const gossip::Datagram &datagram, const Udp::endpoint &from,
                               base::TimePoint now) -> void
 {
@@ -328,6 +371,9 @@
     const auto text = datagram.SerializeAsString();
     m_sentBytes += text.size();
     m_socket.send_to(asio::buffer(text), endpoint, 0, ignored);
+    // The error is of an earlier datagram; this one was not sent.
+    if (ignored == asio::error::connection_refused)
+        m_socket.send_to(asio::buffer(text), endpoint, 0, ignored);
 }
 
 auto makeGossipMembership(asio::io_context &context, MembershipOptions options)
--- a/src/process/membership/internal/gossipmembership.h
+++ b/src/process/membership/internal/gossipmembership.h
@@ -41,6 +41,8 @@
     };
 
     auto receive() -> boost::asio::awaitable<void>;
+    //! Reads which members' systems have refused a datagram, because no process has the port.
+    auto readRefusals(base::TimePoint now) -> void;
     auto probeForever() -> boost::asio::awaitable<void>;
     auto handle(const gossip::Datagram &datagram, const Udp::endpoint &from, base::TimePoint now)
         -> void;
--- a/src/process/membership/internal/membertable.cpp
+++ b/src/process/membership/internal/membertable.cpp
@@ -98,6 +98,20 @@
     entry.told = 0;
 }
 
+auto MemberTable::confirmGone(const std::string &gossipAddress, base::TimePoint now) -> bool
+{
+    auto changed = false;
+    for (auto &[id, entry] : m_entries) {
+        if (entry.member.gossipAddress != gossipAddress || entry.member.state == MemberState::Dead)
+            continue;
+        entry.member.state = MemberState::Dead;
+        entry.stateSince = now;
+        entry.told = 0;
+        changed = true;
+    }
+    return changed;
+}
+
 auto MemberTable::expire(base::TimePoint now) -> bool
 {
     auto changed = false;
--- a/src/process/membership/internal/membertable.h
+++ b/src/process/membership/internal/membertable.h
@@ -28,6 +28,9 @@
     auto hear(const Member &sender, base::TimePoint now) -> bool;
     //! A probe of \a id went unanswered.
     auto suspect(const std::string &id, base::TimePoint now) -> void;
+    //! The system at \a gossipAddress has no process there any more, so that its member is dead.
+    //! True when the view changed.
+    auto confirmGone(const std::string &gossipAddress, base::TimePoint now) -> bool;
     //! Turns suspicions that nobody refuted into deaths, and drops the long dead. True when the
     //! view changed.
     auto expire(base::TimePoint now) -> bool;
--- a/src/process/membership/tests/gossipmembership_tests.cpp
+++ b/src/process/membership/tests/gossipmembership_tests.cpp
@@ -22,14 +22,14 @@
     std::unique_ptr<IMembership> membership;
     std::thread thread;
 
-    auto start(int number, int port) -> void
+    auto start(int number, int port, std::chrono::milliseconds period = PERIOD) -> void
     {
         auto options = MembershipOptions();
         options.self.id = "m" + std::to_string(number);
         options.self.incarnation = 1;
         options.self.gossipAddress = "127.0.0.1:" + std::to_string(port);
         options.seeds = { "127.0.0.1:" + std::to_string(port - number) };
-        options.period = PERIOD;
+        options.period = period;
         membership = std::move(makeGossipMembership(context, options)).value();
         thread = std::thread([this] { context.run(); });
     }
@@ -87,3 +87,22 @@
     for (auto &node : nodes)
         node.stop();
 }
+
+//! A killed process is noticed by the refusal of its system, in about a round, and not by three
+//! periods of silence: until then nobody takes over its work.
+TEST(GossipMembership, GossipMembership_ProcessGone_IsNoticedBeforeItsSilenceIs)
+{
+    constexpr auto SLOW_PERIOD = std::chrono::milliseconds(300);
+    const auto firstPort = freePort();
+    auto nodes = std::vector<Node>(2);
+    for (auto number = 0; number < 2; ++number)
+        nodes[number].start(number, firstPort + number, SLOW_PERIOD);
+    const auto live = [&] { return nodes[0].membership->view()->liveIds(Role::Gateway).size(); };
+    ASSERT_TRUE(eventually([&] { return live() == 2U; }));
+    nodes[1].stop();
+    nodes[1].membership.reset();
+    const auto goneAt = process::clock::now();
+    EXPECT_TRUE(eventually([&] { return live() == 1U; }));
+    EXPECT_LT(process::clock::now() - goneAt, SLOW_PERIOD * 3);
+    nodes[0].stop();
+}
