Split the rollout executor into batches, supervision and placing

Change: OpenBatches holds the batches and their texts, RunSupervisor ends and moves runs; the executor places, starts and finishes them. No behaviour changed; 45 unit tests of the folder and the process tests of batches and scorers pass.

--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -90,4 +90,20 @@
         source.expectedOutput, maxOutput, item.transcript->eventCount(), item.tokensPerEvent });
 }
 
+auto describeWaiting(const OpenBatch &batch, std::size_t index, std::size_t handle) -> WaitingItem
+{
+    const auto &submission = *batch.submission;
+    const auto &item = batch.items[index];
+    auto entry = WaitingItem();
+    entry.handle = handle;
+    entry.model = submission.head.model;
+    entry.minVersion = submission.head.minVersion;
+    entry.expectedTokens = expectedRemainingTokens(batch, index);
+    entry.contextTokens = submission.items[index].promptTokens;
+    entry.dueAt = batch.dueAt;
+    entry.avoidedEngine = item.avoidedEngine;
+    entry.route = item.route;
+    return entry;
+}
+
 } // namespace nutmegplank::request::rollout
--- a/src/request/rollout/openbatch.h
+++ b/src/request/rollout/openbatch.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "request/rollout/itemrun.h"
+#include "request/rollout/placement.h"
 #include "request/rollout/rundecision.h"
 #include "version/batch/batch.h"
 #include "version/routing/routingtable.h"
@@ -73,6 +74,8 @@
     -> std::size_t;
 //! The item's text so far.
 auto progressOf(const OpenBatch &batch, std::size_t index) -> version::batch::Progress;
+//! The item as the placement sees it. \a handle is returned with its assignment.
+auto describeWaiting(const OpenBatch &batch, std::size_t index, std::size_t handle) -> WaitingItem;
 //! Estimated number of output tokens that the item still has to generate.
 auto expectedRemainingTokens(const OpenBatch &batch, std::size_t index) -> std::uint64_t;
 
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -7,7 +7,6 @@
 #include "process/logging/logging.h"
 #include "process/logging/taskfailure.h"
 #include "request/rollout/moveplan.h"
-#include "request/rollout/runmonitor.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -20,8 +19,6 @@
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 constexpr auto TICK_INTERVAL = std::chrono::milliseconds(60);
-//! Events of a run between two samples of its event interval.
-constexpr auto EVENTS_PER_SAMPLE = 3U;
 //! Items with much output left get the more urgent (lower) value: engines admit them first and
 //! preempt them last.
 constexpr auto LONG_OUTPUT_TOKENS = std::uint64_t(1500);
@@ -33,6 +30,7 @@
 RolloutExecutor::RolloutExecutor(ExecutorDependencies dependencies)
     : m_dependencies(std::move(dependencies))
     , m_loadTracker(m_dependencies.servers, m_dependencies.health, m_dependencies.engines)
+    , m_supervisor(m_batches, m_dependencies.servers, m_dependencies.engines, m_loadTracker)
     , m_scoring(scoringDependencies())
     , m_timer(m_dependencies.context)
     , m_completed(m_dependencies.metrics.counter("nutmegplank_items_total", "Items finished.",
@@ -60,7 +58,7 @@
         return;
     m_active = false;
     auto cancelledRuns = std::size_t(0);
-    for (auto &[id, batch] : m_batches) {
+    for (auto &[id, batch] : m_batches.all()) {
         for (auto &item : batch.items) {
             if (item.run == nullptr)
                 continue;
@@ -70,9 +68,8 @@
     }
     logging::info(
         "rollout.stopped",
-        { { "reason", reason }, { "runs", cancelledRuns }, { "batches", m_batches.size() } });
+        { { "reason", reason }, { "runs", cancelledRuns }, { "batches", m_batches.all().size() } });
     m_scoring.cancelAll();
-    m_carriedTexts.clear();
     m_batches.clear();
     m_timer.cancel();
 }
@@ -89,7 +86,7 @@
     while (m_active && generation == m_generation) {
         tick();
         if (!std::exchange(m_wakePending, false)) {
-            m_timer.expires_after(m_batches.empty() ? TICK_INTERVAL * 4 : TICK_INTERVAL);
+            m_timer.expires_after(m_batches.all().empty() ? TICK_INTERVAL * 4 : TICK_INTERVAL);
             co_await m_timer.async_wait(USE_TUPLE);
         } else {
             co_await asio::post(m_dependencies.context, asio::use_awaitable);
@@ -101,14 +98,14 @@
 auto RolloutExecutor::tick() -> void
 {
     const auto table = m_dependencies.routing();
-    if (table == nullptr || m_batches.empty())
+    if (table == nullptr || m_batches.all().empty())
         return;
     m_loadTracker.setTable(table);
-    for (auto &[id, batch] : m_batches)
+    for (auto &[id, batch] : m_batches.all())
         resolveRoutes(batch, table);
     m_dependencies.engines.updateMedian();
     abandonExpiredItems();
-    monitorRuns();
+    m_supervisor.endFailedRuns(m_dependencies.now());
     place();
     m_scoring.dispatch(*table);
 }
@@ -117,7 +114,7 @@
                                const std::vector<version::batch::Progress> &progress) -> void
 {
     const auto &head = batch.head;
-    if (!m_active || !batch.open() || m_batches.contains(head.id))
+    if (!m_active || !batch.open() || m_batches.all().contains(head.id))
         return;
     const auto table = m_dependencies.routing();
     const auto *route = table == nullptr ? nullptr : table->findRoute(head.host, head.path);
@@ -138,9 +135,7 @@
             item.state = ItemState::Done;
     }
     resolveRoutes(openBatch, table);
-    assignGroups(openBatch);
-    const auto resumed = restoreProgress(openBatch, progress);
-    const auto carried = restoreProgress(openBatch, takeTexts(openBatch));
+    const auto added = m_batches.add(std::move(openBatch), progress, m_dependencies.now());
     logging::info("rollout.batch_opened",
                   { { "batch", head.id },
                     { "model", head.model },
@@ -148,25 +143,23 @@
                     { "min_version", head.minVersion },
                     { "items", batch.itemCount() },
                     { "listed", batch.listedCount },
-                    { "resumed", resumed },
-                    { "carried", carried },
+                    { "resumed", added.resumed },
+                    { "carried", added.carried },
                     { "age_ms", age.count() } });
-    auto &added = m_batches.emplace(head.id, std::move(openBatch)).first->second;
-    for (auto index = std::size_t(0); index < added.items.size(); ++index) {
-        if (added.items[index].state == ItemState::Scoring)
-            startScoring(added, index);
+    for (auto index = std::size_t(0); index < added.batch.items.size(); ++index) {
+        if (added.batch.items[index].state == ItemState::Scoring)
+            startScoring(added.batch, index);
     }
     wake();
 }
 
 auto RolloutExecutor::endBatch(const std::string &id) -> void
 {
-    const auto found = m_batches.find(id);
-    if (found == m_batches.end())
+    const auto found = m_batches.all().find(id);
+    if (found == m_batches.all().end())
         return;
     auto running = std::size_t(0);
     auto waiting = std::size_t(0);
-    keepTexts(found->second);
     for (auto &item : found->second.items) {
         if (item.state == ItemState::Waiting)
             ++waiting;
@@ -182,90 +175,14 @@
           { "waiting", waiting },
           { "late_ms", base::toMilliseconds(m_dependencies.now() - found->second.dueAt) } });
     m_scoring.cancelBatch(id);
-    m_batches.erase(found);
+    m_batches.remove(id, m_dependencies.now());
     wake();
 }
 
-auto RolloutExecutor::keepTexts(const OpenBatch &batch) -> void
-{
-    const auto &submission = *batch.submission;
-    for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-        const auto &item = batch.items[index];
-        if (item.state != ItemState::Done)
-            m_carriedTexts.keep(submission.head.workspace, submission.items[index],
-                                progressOf(batch, index), m_dependencies.now());
-    }
-}
-
-auto RolloutExecutor::takeTexts(const OpenBatch &batch) -> std::vector<version::batch::Progress>
-{
-    const auto &submission = *batch.submission;
-    auto texts = std::vector<version::batch::Progress>();
-    for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-        const auto &item = batch.items[index];
-        if (item.state == ItemState::Done)
-            continue;
-        const auto singleVersion = item.route != nullptr && item.route->singleVersion;
-        auto text =
-            m_carriedTexts.take(submission.head.workspace, submission.items[index],
-                                submission.head.minVersion, singleVersion, m_dependencies.now());
-        if (!text.has_value())
-            continue;
-        text->item = static_cast<std::uint32_t>(index);
-        texts.push_back(std::move(*text));
-    }
-    return texts;
-}
-
-auto RolloutExecutor::collectProgress(std::uint32_t minNewEvents)
-    -> std::map<std::string, std::vector<version::batch::Progress>>
-{
-    auto progressByBatch = std::map<std::string, std::vector<version::batch::Progress>>();
-    for (auto &[id, batch] : m_batches) {
-        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-            auto &item = batch.items[index];
-            const auto &transcript = *item.transcript;
-            if (item.state == ItemState::Done || transcript.empty())
-                continue;
-            const auto complete = item.state == ItemState::Scoring;
-            const auto newlyComplete = complete && !item.savedComplete;
-            if (transcript.eventCount() < item.savedEvents + minNewEvents && !newlyComplete)
-                continue;
-            item.savedEvents = transcript.eventCount();
-            item.savedComplete = complete;
-            progressByBatch[id].push_back(progressOf(batch, index));
-        }
-    }
-    return progressByBatch;
-}
-
-auto RolloutExecutor::demand() const -> std::map<std::string, double>
-{
-    auto tokens = std::map<std::string, double>();
-    for (const auto &[id, batch] : m_batches) {
-        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-            if (batch.items[index].state != ItemState::Done)
-                tokens[batch.submission->head.model] +=
-                    static_cast<double>(expectedRemainingTokens(batch, index));
-        }
-    }
-    return tokens;
-}
-
-auto RolloutExecutor::neededVersion(const std::string &model) const -> std::uint64_t
-{
-    auto needed = std::uint64_t(0);
-    for (const auto &[id, batch] : m_batches) {
-        if (batch.submission->head.model == model)
-            needed = std::max(needed, batch.submission->head.minVersion);
-    }
-    return needed;
-}
-
 auto RolloutExecutor::abandonExpiredItems() -> void
 {
     const auto wallClockMs = m_dependencies.wallClockMs();
-    for (auto &[id, batch] : m_batches) {
+    for (auto &[id, batch] : m_batches.all()) {
         const auto expired = wallClockMs >= batch.expiresAtMs;
         for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
             const auto state = batch.items[index].state;
@@ -279,146 +196,20 @@
     }
 }
 
-auto RolloutExecutor::monitorRuns() -> void
-{
-    for (auto &[id, batch] : m_batches) {
-        for (auto &item : batch.items) {
-            if (item.run != nullptr)
-                monitorRun(item);
-        }
-    }
-}
-
-auto RolloutExecutor::monitorRun(OpenItem &item) -> void
-{
-    sampleEventInterval(item);
-    const auto *server = m_dependencies.servers.find(item.engine);
-    auto monitored = MonitoredRun();
-    monitored.silence = m_dependencies.now() - item.run->lastProgressAt();
-    monitored.eventInterval =
-        m_dependencies.engines.eventInterval(item.engine, m_loadTracker.runningAt(item.engine));
-    monitored.earlierSilences = item.silentRuns;
-    monitored.loading = m_dependencies.engines.loading(item.engine);
-    monitored.zoneOut =
-        server != nullptr && m_dependencies.servers.zonesOut().contains(server->record.zone);
-    monitored.hasRoute = item.route != nullptr;
-    const auto termination = checkProgress(monitored);
-    if (!termination.has_value())
-        return;
-    if (termination->silent)
-        ++item.silentRuns;
-    item.run->cancel(termination->end, std::string(termination->reason));
-}
-
-//! Moves items away from slow engines, as far as \a engines have room left for them.
-auto RolloutExecutor::moveRuns(std::vector<EngineLoad> &engines) -> void
-{
-    auto running = std::vector<RunningItem>();
-    auto keys = std::vector<ItemKey>();
-    for (const auto &[id, batch] : m_batches) {
-        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-            const auto &item = batch.items[index];
-            if (item.run == nullptr || m_dependencies.engines.loading(item.engine))
-                continue;
-            auto entry = RunningItem();
-            entry.item = describeWaiting(batch, index, keys.size());
-            entry.slowdown = m_dependencies.engines.slowdown(item.engine);
-            entry.runTime = m_dependencies.now() - item.run->startedAt();
-            entry.movedBefore = item.avoidedEngine == item.engine;
-            running.push_back(std::move(entry));
-            keys.push_back({ id, index });
-        }
-    }
-    for (const auto handle : planMoves(std::move(running), engines)) {
-        auto &item = m_batches.at(keys[handle].batch).items[keys[handle].item];
-        item.avoidedEngine = item.engine;
-        item.run->cancel(RunEnd::Cancelled, "engine is slow; moving the item");
-    }
-}
-
-//! Samples the event interval of the item's run. The sample starts anew while the engine loads
-//! weights, because the engine then sends no events and this is no slowdown.
-auto RolloutExecutor::sampleEventInterval(OpenItem &item) -> void
-{
-    const auto events = item.run->runEvents();
-    const auto restartSample = m_dependencies.engines.loading(item.engine)
-        || item.sampledEvents == 0 || events < item.sampledEvents;
-    if (!restartSample && events < item.sampledEvents + EVENTS_PER_SAMPLE)
-        return;
-    if (!restartSample)
-        m_dependencies.engines.noteEventInterval(item.engine,
-                                                 (item.run->lastProgressAt() - item.sampledAt)
-                                                     / (events - item.sampledEvents),
-                                                 m_loadTracker.runningAt(item.engine));
-    item.sampledEvents = events;
-    item.sampledAt = item.run->lastProgressAt();
-}
-
-auto RolloutExecutor::describeWaiting(const OpenBatch &batch, std::size_t index,
-                                      std::size_t handle) const -> WaitingItem
-{
-    const auto &submission = *batch.submission;
-    const auto &item = batch.items[index];
-    auto entry = WaitingItem();
-    entry.handle = handle;
-    entry.model = submission.head.model;
-    entry.minVersion = submission.head.minVersion;
-    entry.expectedTokens = expectedRemainingTokens(batch, index);
-    entry.contextTokens = submission.items[index].promptTokens;
-    entry.dueAt = batch.dueAt;
-    entry.avoidedEngine = item.avoidedEngine;
-    entry.route = item.route;
-    return entry;
-}
-
-auto RolloutExecutor::collectWaiting(std::vector<WaitingItem> &waiting, std::vector<ItemKey> &keys)
-    -> void
-{
-    const auto now = m_dependencies.now();
-    for (const auto &[id, batch] : m_batches) {
-        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-            const auto &item = batch.items[index];
-            if (item.state != ItemState::Waiting || now < item.notBefore)
-                continue;
-            waiting.push_back(describeWaiting(batch, index, keys.size()));
-            keys.push_back({ id, index });
-        }
-    }
-}
-
 auto RolloutExecutor::place() -> void
 {
     auto waiting = std::vector<WaitingItem>();
     auto keys = std::vector<ItemKey>();
-    collectWaiting(waiting, keys);
+    m_batches.collectWaiting(waiting, keys, m_dependencies.now());
     auto engines = m_loadTracker.loads(m_dependencies.now());
     const auto anySlow = std::ranges::any_of(engines, isSlow);
     if (waiting.empty() && !anySlow)
         return;
-    reserveRunning(engines);
+    m_batches.reserveRunning(engines);
     for (const auto &assignment : placeItems(std::move(waiting), engines))
         startRun(keys[assignment.handle], engines[assignment.engine]);
     if (anySlow)
-        moveRuns(engines);
-}
-
-//! Adds the tokens that the running items are expected to need to the load of their engines.
-auto RolloutExecutor::reserveRunning(std::vector<EngineLoad> &engines) const -> void
-{
-    auto enginesById = std::map<std::string_view, EngineLoad *>();
-    for (auto &engine : engines)
-        enginesById[engine.id] = &engine;
-    for (const auto &[id, batch] : m_batches) {
-        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-            const auto &item = batch.items[index];
-            if (item.state != ItemState::Running)
-                continue;
-            const auto found = enginesById.find(item.engine);
-            if (found != enginesById.end())
-                found->second->reservedTokens += batch.submission->items[index].promptTokens
-                    + expectedRemainingTokens(batch, index);
-        }
-    }
+        m_supervisor.moveRuns(engines, m_dependencies.now());
 }
 
 auto RolloutExecutor::buildRequest(const OpenBatch &batch, std::size_t index,
@@ -450,7 +241,7 @@
 
 auto RolloutExecutor::startRun(const ItemKey &key, const EngineLoad &engine) -> void
 {
-    auto &batch = m_batches.at(key.batch);
+    auto &batch = m_batches.all().at(key.batch);
     auto &item = batch.items[key.item];
     const auto *server = m_dependencies.servers.find(engine.id);
     if (server == nullptr || item.route == nullptr)
@@ -471,7 +262,7 @@
 auto RolloutExecutor::logPlacement(const ItemKey &key, const EngineLoad &engine,
                                    const Server &server) const -> void
 {
-    const auto &batch = m_batches.at(key.batch);
+    const auto &batch = m_batches.all().at(key.batch);
     logging::info(
         "rollout.placed",
         { { "batch", key.batch },
@@ -491,8 +282,8 @@
     const auto outcome =
         co_await run->run(m_dependencies.pools.pool(server.record.id, server.record.endpoint));
     m_loadTracker.noteEnd(server.record.id);
-    const auto found = m_batches.find(key.batch);
-    if (found == m_batches.end() || found->second.items[key.item].run != run)
+    const auto found = m_batches.all().find(key.batch);
+    if (found == m_batches.all().end() || found->second.items[key.item].run != run)
         co_return;
     if (outcome.end == RunEnd::Completed)
         m_itemSeconds.record(m_dependencies.now() - run->startedAt());
@@ -503,7 +294,7 @@
 auto RolloutExecutor::finishRun(const ItemKey &key, const Server &server, const RunOutcome &outcome)
     -> void
 {
-    auto &batch = m_batches.at(key.batch);
+    auto &batch = m_batches.all().at(key.batch);
     auto &item = batch.items[key.item];
     if (outcome.weightVersion.has_value())
         m_dependencies.engines.noteVersion(server.record.id, server.record.incarnation,
@@ -559,7 +350,7 @@
              m_dependencies.metrics,
              m_dependencies.now,
              [this](const scoring::ScoringKey &key) {
-                 const auto &batch = m_batches.at(key.batch);
+                 const auto &batch = m_batches.all().at(key.batch);
                  return batch.unfinishedInGroup[batch.items[key.item].group];
              },
              [this](const scoring::ScoringKey &key, std::string score) {
@@ -580,7 +371,7 @@
 
 auto RolloutExecutor::applyScore(const scoring::ScoringKey &key, std::string score) -> void
 {
-    auto &batch = m_batches.at(key.batch);
+    auto &batch = m_batches.all().at(key.batch);
     batch.items[key.item].score = std::move(score);
     finishItem(batch, key.item, false, "scored");
 }
@@ -588,7 +379,7 @@
 auto RolloutExecutor::abandonScoring(const scoring::ScoringKey &key, std::string_view reason)
     -> void
 {
-    finishItem(m_batches.at(key.batch), key.item, true, reason);
+    finishItem(m_batches.all().at(key.batch), key.item, true, reason);
 }
 
 auto RolloutExecutor::finishItem(OpenBatch &batch, std::size_t index, bool lost,
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -12,9 +12,9 @@
 
 #include "connection/backend/backendpools.h"
 #include "process/metrics/metrics.h"
-#include "request/rollout/carriedtexts.h"
 #include "request/rollout/engineloadtracker.h"
-#include "request/rollout/openbatch.h"
+#include "request/rollout/openbatches.h"
+#include "request/rollout/runsupervisor.h"
 #include "request/scoring/scoringrunner.h"
 #include "version/batch/batch.h"
 #include "version/routing/routingtable.h"
@@ -58,16 +58,22 @@
     //! \a minNewEvents events more than when it was last returned, or if its text has been
     //! completed since then.
     auto collectProgress(std::uint32_t minNewEvents)
-        -> std::map<std::string, std::vector<version::batch::Progress>>;
+        -> std::map<std::string, std::vector<version::batch::Progress>>
+    {
+        return m_batches.collectProgress(minNewEvents);
+    }
     auto endBatch(const std::string &id) -> void;
     //! Runs the next tick immediately, e.g. after a change of a server, a free slot or a version.
     auto wake() -> void;
 
     //! Expected remaining output tokens of unfinished items, by model.
-    auto demand() const -> std::map<std::string, double>;
+    auto demand() const -> std::map<std::string, double> { return m_batches.demand(); }
     //! The lowest weight version with which every open batch of \a model can run; 0 if no batch of
     //! it is open.
-    auto neededVersion(const std::string &model) const -> std::uint64_t;
+    auto neededVersion(const std::string &model) const -> std::uint64_t
+    {
+        return m_batches.neededVersion(model);
+    }
     auto runningAt(const std::string &engine) const -> std::uint32_t
     {
         return m_loadTracker.runningAt(engine);
@@ -77,7 +83,6 @@
     auto tickLoop() -> boost::asio::awaitable<void>;
     auto tick() -> void;
     auto place() -> void;
-    auto collectWaiting(std::vector<WaitingItem> &waiting, std::vector<ItemKey> &keys) -> void;
     auto startRun(const ItemKey &key, const EngineLoad &engine) -> void;
     auto runItem(ItemKey key, std::shared_ptr<ItemRun> run, process::servers::Server server)
         -> boost::asio::awaitable<void>;
@@ -90,15 +95,6 @@
     auto abandonScoring(const scoring::ScoringKey &key, std::string_view reason) -> void;
     auto finishItem(OpenBatch &batch, std::size_t index, bool lost, std::string_view reason)
         -> void;
-    auto monitorRuns() -> void;
-    auto monitorRun(OpenItem &item) -> void;
-    auto moveRuns(std::vector<EngineLoad> &engines) -> void;
-    auto describeWaiting(const OpenBatch &batch, std::size_t index, std::size_t handle) const
-        -> WaitingItem;
-    auto keepTexts(const OpenBatch &batch) -> void;
-    auto takeTexts(const OpenBatch &batch) -> std::vector<version::batch::Progress>;
-    auto sampleEventInterval(OpenItem &item) -> void;
-    auto reserveRunning(std::vector<EngineLoad> &engines) const -> void;
     auto buildRequest(const OpenBatch &batch, std::size_t index, const EngineLoad &engine) const
         -> connection::http::Request;
     auto logPlacement(const ItemKey &key, const EngineLoad &engine,
@@ -106,10 +102,10 @@
     auto abandonExpiredItems() -> void;
 
     ExecutorDependencies m_dependencies;
-    std::map<std::string, OpenBatch> m_batches;
+    OpenBatches m_batches;
     EngineLoadTracker m_loadTracker;
+    RunSupervisor m_supervisor;
     scoring::ScoringRunner m_scoring;
-    CarriedTexts m_carriedTexts;
     boost::asio::steady_timer m_timer;
     process::metrics::Counter &m_completed;
     process::metrics::Counter &m_lostItems;
