Test that the fencing settings are read and checked

Cause: enforce_fencing and lease_ms were read without a test. Change: a test of the default, of both values and of a wrong type, which ends the start with the field's name.

--- a/src/platform/tests/nodefile_tests.cpp
+++ b/src/platform/tests/nodefile_tests.cpp
@@ -59,6 +59,28 @@
     EXPECT_NE(settings.status().message().find("IP number:port"), absl::string_view::npos);
 }
 
+//! Where the setting is missing, peers count as checking fences; where it is no truth value, the
+//! start ends with its name.
+TEST(NodeFile, NodeFile_Fencing_IsReadAndChecked)
+{
+    auto text = std::string(VALID_SETTINGS);
+    EXPECT_TRUE(readNodeFile(NodeFile(text).path)->peersCheckFences);
+    const auto at = text.find("\"strict_revoke\"");
+    text.insert(at, R"("enforce_fencing":false,"lease_ms":2500,)");
+    {
+        const auto file = NodeFile(text);
+        const auto settings = readNodeFile(file.path);
+        ASSERT_TRUE(settings.ok()) << settings.status();
+        EXPECT_FALSE(settings->peersCheckFences);
+        EXPECT_EQ(settings->holderTurn, 2500ms);
+    }
+    text.replace(text.find("false"), 5, "\"no\"");
+    const auto file = NodeFile(text);
+    const auto settings = readNodeFile(file.path);
+    ASSERT_FALSE(settings.ok());
+    EXPECT_NE(settings.status().message().find("enforce_fencing"), absl::string_view::npos);
+}
+
 TEST(NodeFile, NodeFile_MissingFile_ReturnsError)
 {
     EXPECT_FALSE(readNodeFile("/nowhere/node.json").ok());
