Order scoring keys by a comparison that the linter accepts

Cause: clang-tidy reports the defaulted three-way comparison of ScoringKey as a missing nullptr, in five files. Change: operator< over both fields, which is all that the map needs. The build passes.

--- a/src/request/scoring/scoringrunner.h
+++ b/src/request/scoring/scoringrunner.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -24,7 +25,10 @@
     std::string batch;
     std::size_t item = 0; //!< Index in the submission.
 
-    auto operator<=>(const ScoringKey &) const = default;
+    auto operator<(const ScoringKey &other) const -> bool
+    {
+        return std::tie(batch, item) < std::tie(other.batch, other.item);
+    }
 };
 
 //! An item whose text is complete.
