--- a/src/request/scoring/scoringrunner.h
+++ b/src/request/scoring/scoringrunner.h
@@ -66,7 +66,6 @@
 
     //! Queues \a job; dispatch() starts its call. Does nothing if the item is already queued.
     auto add(const ScoringKey &key, ScoringJob job) -> void;
-    auto contains(const ScoringKey &key) const -> bool { return m_entries.contains(key); }
     //! Starts the calls that are due and for which a server has a free slot.
     auto dispatch(const version::routing::RoutingTable &table) -> void;
     //! Cancels the item's call, if any; its hooks are not called.
