--- a/tests/harness/process.py
+++ b/tests/harness/process.py
@@ -25,6 +25,7 @@
         self.lines: list[dict] = []
         self.popen: subprocess.Popen | None = None
         self._changed = threading.Condition()
+        self._reader: threading.Thread | None = None
 
     def start(self) -> "Process":
         """Starts without waiting; see wait_ready."""
@@ -35,7 +36,8 @@
             self.popen = subprocess.Popen(
                 [str(BIN / self.program), f"--settings={path}"], stdout=subprocess.PIPE, stderr=log, text=True
             )
-        threading.Thread(target=self._read, args=(self.popen,), daemon=True).start()
+        self._reader = threading.Thread(target=self._read, args=(self.popen,), daemon=True)
+        self._reader.start()
         return self
 
     def _read(self, popen: subprocess.Popen) -> None:
@@ -57,7 +59,9 @@
                     if wanted(line):
                         return line
                 left = deadline - time.monotonic()
-                if left <= 0 or (self.popen.poll() is not None and left < seconds - 1):
+                # An ended process may have lines that its reader has not taken in yet.
+                ended = self.popen.poll() is not None and not self._reader.is_alive()
+                if left <= 0 or (ended and left < seconds - 1):
                     raise AssertionError(f"{self.name}: no such line in {seconds} s, exit code {self.popen.poll()}\n"
                                          + self.log_tail())
                 self._changed.wait(min(left, 0.2))
