Log the request limits that backend servers name

Servers name Server-Limit in their responses, and no line said so: the hypotheses of the incident (nobody reads the limit, machines do not know each other's use, refusals bring requests back) could not be told apart. Requests, items, scoring calls, weight orders and reports now pass the limit on to RequestLimits, which logs each change as server.limit_named. Nothing is held back yet.

--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -76,7 +76,13 @@
     , m_fencedCalls([this](std::uint64_t fence, base::TimePoint now) {
         return m_conductor.permitCall(fence, now);
     })
-    , m_engineControl(m_settings.node, m_pools, m_fencedCalls)
+    , m_engineControl(m_settings.node, m_pools, m_fencedCalls,
+                      [this](const std::string &engine, const http::Response &response,
+                             base::TimePoint sentAt) {
+                          request::serverprotocol::noteRequestLimit(
+                              m_health.limits(), engine, m_serverProtocol.readHead(response),
+                              sentAt, process::clock::now());
+                      })
     , m_duties(m_settings.cloudEndpoint, m_settings.node, m_fencedCalls)
     , m_servers({})
     , m_routing(nullptr)
--- a/src/platform/enginecontrol.cpp
+++ b/src/platform/enginecontrol.cpp
@@ -8,6 +8,7 @@
 #include "platform/platformcall.h"
 #include "platform/serverrecords.h"
 #include "platform/wireheaders.h"
+#include "process/clock/clock.h"
 
 namespace nutmegplank::platform {
 
@@ -72,6 +73,7 @@
     request.headers = { { "Content-Type", "application/json" },
                         { wireheaders::EXPECTED_SERVER, order.engine } };
     request.body = json::serialize(body);
+    const auto sentAt = process::clock::now();
     const auto result =
         co_await sendFenced(m_pools.pool(order.engine, order.endpoint), std::move(request),
                             CALL_TIMEOUT, Fence { m_calls, order.fence });
@@ -79,6 +81,7 @@
         co_return result.sent ? OrderOutcome::NoAnswer : OrderOutcome::NotSent;
     if (isForeign(*result.response))
         co_return OrderOutcome::NoAnswer;
+    m_onResponse(order.engine, *result.response, sentAt);
     co_return outcomeForStatus(result.response->status);
 }
 
@@ -88,10 +91,13 @@
     auto request = http::Request();
     request.target = "/v1/report";
     request.headers = { { wireheaders::EXPECTED_SERVER, engine } };
+    const auto sentAt = process::clock::now();
     const auto result =
         co_await sendOverPool(m_pools.pool(engine, endpoint), std::move(request), CALL_TIMEOUT);
     if (!result.response.ok())
         co_return result.response.status();
+    if (!isForeign(*result.response))
+        m_onResponse(engine, *result.response, sentAt);
     const auto body = parseObject(result.response->body);
     if (result.response->status != 200 || !body.has_value() || isForeign(*result.response))
         co_return base::makeError(absl::StatusCode::kUnavailable,
--- a/src/platform/enginecontrol.h
+++ b/src/platform/enginecontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "connection/backend/backendpools.h"
@@ -12,12 +13,18 @@
 class EngineControl : public version::waves::IEngineControl
 {
 public:
+    //! Called with each response of an engine to a call that was sent at \a sentAt.
+    using ResponseObserver =
+        std::function<void(const std::string &engine, const connection::http::Response &response,
+                           base::TimePoint sentAt)>;
+
     //! \a holder identifies this machine in its orders.
     EngineControl(std::string holder, connection::backend::BackendPools &pools,
-                  version::leadership::FencedCalls &calls)
+                  version::leadership::FencedCalls &calls, ResponseObserver onResponse)
         : m_holder(std::move(holder))
         , m_pools(pools)
         , m_calls(calls)
+        , m_onResponse(std::move(onResponse))
     { }
 
     auto order(version::waves::WeightOrder order)
@@ -29,6 +36,7 @@
     std::string m_holder;
     connection::backend::BackendPools &m_pools;
     version::leadership::FencedCalls &m_calls;
+    ResponseObserver m_onResponse;
 };
 
 } // namespace nutmegplank::platform
--- a/src/platform/serverprotocol.cpp
+++ b/src/platform/serverprotocol.cpp
@@ -1,6 +1,7 @@
 #include "platform/serverprotocol.h"
 
 #include <charconv>
+#include <cmath>
 
 #include "platform/wireheaders.h"
 
@@ -18,6 +19,16 @@
     request.headers.push_back({ std::string(name), std::move(value) });
 }
 
+auto readLimit(const std::string &value) -> std::optional<double>
+{
+    auto limit = 0.0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), limit);
+    if (error != std::errc() || end != value.data() + value.size() || !std::isfinite(limit)
+        || limit < 0)
+        return std::nullopt;
+    return limit;
+}
+
 } // namespace
 
 auto ServerProtocol::addEnvelope(http::Request &request,
@@ -55,6 +66,7 @@
         std::from_chars(version.data(), version.data() + version.size(), number);
     if (!version.empty() && error == std::errc())
         metadata.weightVersion = number;
+    metadata.requestLimit = readLimit(http::headerValue(head.headers, wireheaders::SERVER_LIMIT));
     return metadata;
 }
 
--- a/src/platform/wireheaders.h
+++ b/src/platform/wireheaders.h
@@ -11,7 +11,9 @@
 //! Id of the only backend server that may run the request.
 constexpr auto EXPECTED_SERVER = "X-Expect-Instance";
 constexpr auto NOT_EXECUTED = "X-Not-Executed"; //!< Present if the server has not run the request.
-constexpr auto RETRY_AFTER = "Retry-After";     //!< In seconds; may have a fraction.
+//! Requests per second that the backend server takes from all machines together; may be a fraction.
+constexpr auto SERVER_LIMIT = "Server-Limit";
+constexpr auto RETRY_AFTER = "Retry-After"; //!< In seconds; may have a fraction.
 constexpr auto LEASE_HOLDER = "X-Lease-Holder";
 constexpr auto FENCING_TOKEN = "X-Fencing-Token";
 //! How long to wait for a result if there is none yet, in milliseconds.
--- a/src/process/health/serverhealth.h
+++ b/src/process/health/serverhealth.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "base/timepoint.h"
+#include "process/requestlimits/requestlimits.h"
 
 //! Backend servers as requests find them; what a server says of itself stands in the server table.
 namespace nutmegplank::process::health {
@@ -47,6 +48,9 @@
     //! Refused, reset or silent: it may have restarted, and is cold then.
     auto noteLost(const std::string &server, const ColdRule &rule, base::TimePoint now) -> void;
     auto forget(const std::string &server) -> void { m_entries.erase(server); }
+    //! Request limits that the servers have named.
+    auto limits() -> requestlimits::RequestLimits & { return m_limits; }
+    auto limits() const -> const requestlimits::RequestLimits & { return m_limits; }
 
 private:
     struct Entry
@@ -59,6 +63,7 @@
     };
 
     HealthTimes m_times;
+    requestlimits::RequestLimits m_limits;
     std::unordered_map<std::string, Entry> m_entries;
 };
 
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -6,6 +6,7 @@
 #include "base/status.h"
 #include "base/text.h"
 #include "process/logging/logging.h"
+#include "request/serverprotocol/limitobservation.h"
 #include "request/serverprotocol/ownresponse.h"
 
 namespace nutmegplank::request::forward {
@@ -272,7 +273,7 @@
         auto envelope = serverprotocol::Envelope { id, call.workspace };
         envelope.timeLeft = call.deadline - m_dependencies.now();
         m_dependencies.protocol.addEnvelope(request, envelope);
-        result = co_await exchange(call, **connection, std::move(request), until, sink);
+        result = co_await exchange(call, id, **connection, std::move(request), until, sink);
         handle.detach();
         // A second copy of a refusal must not be taken for the answer to a request that runs once.
         const auto isUsable = (result.end == AttemptOutcome::NotRun && isRetryable(call.route))
@@ -289,10 +290,11 @@
     co_return result;
 }
 
-auto Forwarder::exchange(const ForwardCall &call, http::IHttpConnection &connection,
-                         http::Request request, base::TimePoint until, IAnswerSink &sink)
-    -> asio::awaitable<Attempt>
+auto Forwarder::exchange(const ForwardCall &call, const std::string &serverId,
+                         http::IHttpConnection &connection, http::Request request,
+                         base::TimePoint until, IAnswerSink &sink) -> asio::awaitable<Attempt>
 {
+    const auto sentAt = m_dependencies.now();
     // At least 1 ms; the unit is microseconds.
     const auto remainingTime = [&] {
         return std::max(base::Duration(1000), until - m_dependencies.now());
@@ -312,6 +314,8 @@
     if (!response.ok())
         co_return lost(response.status());
     const auto &metadata = response->metadata;
+    serverprotocol::noteRequestLimit(m_dependencies.health.limits(), serverId, metadata, sentAt,
+                                     m_dependencies.now());
     auto answer = co_await readAnswer(call, connection, std::move(response->head), until, sink);
     answer.skippedOthers = response->skippedOthers;
     if ((metadata.notRun || metadata.wrongServer) && answer.end == AttemptOutcome::Answered) {
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -160,9 +160,9 @@
     auto attempt(const ForwardCall &call, const process::servers::Server &server,
                  base::TimePoint until, ForwardHandle &handle, IAnswerSink &sink)
         -> boost::asio::awaitable<Attempt>;
-    auto exchange(const ForwardCall &call, connection::http::IHttpConnection &connection,
-                  connection::http::Request request, base::TimePoint until, IAnswerSink &sink)
-        -> boost::asio::awaitable<Attempt>;
+    auto exchange(const ForwardCall &call, const std::string &serverId,
+                  connection::http::IHttpConnection &connection, connection::http::Request request,
+                  base::TimePoint until, IAnswerSink &sink) -> boost::asio::awaitable<Attempt>;
     auto readAnswer(const ForwardCall &call, connection::http::IHttpConnection &connection,
                     connection::http::Response head, base::TimePoint until, IAnswerSink &sink)
         -> boost::asio::awaitable<Attempt>;
--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "process/clock/clock.h"
+
 namespace nutmegplank::request::rollout {
 
 namespace {
@@ -35,6 +37,14 @@
     m_health.noteStart(engine, now);
 }
 
+auto EngineLoadTracker::limitObserver(const std::string &engine, base::TimePoint sentAt)
+    -> serverprotocol::HeadObserver
+{
+    return [&limits = m_health.limits(), engine, sentAt](const auto &metadata) {
+        serverprotocol::noteRequestLimit(limits, engine, metadata, sentAt, process::clock::now());
+    };
+}
+
 auto EngineLoadTracker::noteEnd(const std::string &engine) -> void
 {
     const auto found = m_running.find(engine);
--- a/src/request/rollout/engineloadtracker.h
+++ b/src/request/rollout/engineloadtracker.h
@@ -31,6 +31,9 @@
 
     auto noteStart(const std::string &engine, base::TimePoint now) -> void;
     auto noteEnd(const std::string &engine) -> void;
+    //! Observes the request limit in the response of \a engine to an item sent at \a sentAt.
+    auto limitObserver(const std::string &engine, base::TimePoint sentAt)
+        -> serverprotocol::HeadObserver;
     //! Updates the health of \a server from how \a run ended.
     auto noteOutcome(const process::servers::Server &server, const ItemRun &run, RunEnd end,
                      base::TimePoint now) -> void;
--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -31,11 +31,13 @@
 
 ItemRun::ItemRun(http::Request request, std::string requestId,
                  std::shared_ptr<Transcript> transcript,
-                 const serverprotocol::IServerProtocol &protocol)
+                 const serverprotocol::IServerProtocol &protocol,
+                 serverprotocol::HeadObserver onHead)
     : m_request(std::move(request))
     , m_requestId(std::move(requestId))
     , m_transcript(std::move(transcript))
     , m_protocol(protocol)
+    , m_onHead(std::move(onHead))
 { }
 
 auto ItemRun::run(std::shared_ptr<connection::backend::BackendPool> pool)
@@ -78,6 +80,7 @@
         co_return RunOutcome { RunEnd::Broken, 0, base::describe(response.status()), {} };
     m_gotHead = true;
     m_skippedOthers = response->skippedOthers;
+    m_onHead(response->metadata);
     const auto refusal = classifyHead(response->head, response->metadata);
     if (!refusal.has_value())
         co_return co_await readEvents(connection);
--- a/src/request/rollout/itemrun.h
+++ b/src/request/rollout/itemrun.h
@@ -8,7 +8,7 @@
 #include "base/enumtable.h"
 #include "connection/backend/backendpools.h"
 #include "request/rollout/transcript.h"
-#include "request/serverprotocol/iserverprotocol.h"
+#include "request/serverprotocol/limitobservation.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -55,8 +55,8 @@
 public:
     //! A response that does not carry \a requestId belongs to another request.
     ItemRun(connection::http::Request request, std::string requestId,
-            std::shared_ptr<Transcript> transcript,
-            const serverprotocol::IServerProtocol &protocol);
+            std::shared_ptr<Transcript> transcript, const serverprotocol::IServerProtocol &protocol,
+            serverprotocol::HeadObserver onHead);
 
     auto run(std::shared_ptr<connection::backend::BackendPool> pool)
         -> boost::asio::awaitable<RunOutcome>;
@@ -84,6 +84,7 @@
     std::string m_requestId;
     std::shared_ptr<Transcript> m_transcript;
     const serverprotocol::IServerProtocol &m_protocol;
+    serverprotocol::HeadObserver m_onHead;
     connection::backend::ConnectionPtr m_connection;
     std::optional<RunOutcome> m_cancelled;
     std::optional<std::uint64_t> m_weightVersion;
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -246,9 +246,10 @@
     const auto *server = m_dependencies.servers.find(engine.id);
     if (server == nullptr || item.route == nullptr)
         return;
-    item.run = std::make_shared<ItemRun>(buildRequest(batch, key.item, engine),
-                                         batch.submission->items[key.item].id, item.transcript,
-                                         m_dependencies.protocol);
+    item.run = std::make_shared<ItemRun>(
+        buildRequest(batch, key.item, engine), batch.submission->items[key.item].id,
+        item.transcript, m_dependencies.protocol,
+        m_loadTracker.limitObserver(engine.id, m_dependencies.now()));
     item.state = ItemState::Running;
     item.engine = engine.id;
     item.sampledEvents = 0;
--- a/src/request/scoring/scoringcall.cpp
+++ b/src/request/scoring/scoringcall.cpp
@@ -24,11 +24,13 @@
 } // namespace
 
 ScoringCall::ScoringCall(version::batch::Scorer scorer, std::string serverId,
-                         base::Duration timeLimit, const serverprotocol::IServerProtocol &protocol)
+                         base::Duration timeLimit, const serverprotocol::IServerProtocol &protocol,
+                         serverprotocol::HeadObserver onHead)
     : m_scorer(std::move(scorer))
     , m_serverId(std::move(serverId))
     , m_timeLimit(timeLimit)
     , m_protocol(protocol)
+    , m_onHead(std::move(onHead))
 { }
 
 auto ScoringCall::buildRequest() const -> http::Request
@@ -89,6 +91,7 @@
     if (!response.ok())
         co_return CallOutcome { CallEnd::Lost, 0, {}, base::describe(response.status()) };
     m_skippedOthers = response->skippedOthers;
+    m_onHead(response->metadata);
     const auto read = co_await http::readWholeBody(connection, response->head, deadline);
     if (!read.ok())
         co_return CallOutcome { CallEnd::Lost, 0, {}, base::describe(read) };
--- a/src/request/scoring/scoringcall.h
+++ b/src/request/scoring/scoringcall.h
@@ -7,7 +7,7 @@
 
 #include "connection/backend/backendpool.h"
 #include "request/scoring/scoringdecision.h"
-#include "request/serverprotocol/iserverprotocol.h"
+#include "request/serverprotocol/limitobservation.h"
 #include "version/batch/batch.h"
 
 namespace nutmegplank::request::scoring {
@@ -26,7 +26,8 @@
 public:
     //! \a protocol must outlive the call.
     ScoringCall(version::batch::Scorer scorer, std::string serverId, base::Duration timeLimit,
-                const serverprotocol::IServerProtocol &protocol);
+                const serverprotocol::IServerProtocol &protocol,
+                serverprotocol::HeadObserver onHead);
 
     auto run(std::shared_ptr<connection::backend::BackendPool> pool)
         -> boost::asio::awaitable<CallOutcome>;
@@ -44,6 +45,7 @@
     std::string m_serverId;
     base::Duration m_timeLimit;
     const serverprotocol::IServerProtocol &m_protocol;
+    serverprotocol::HeadObserver m_onHead;
     connection::backend::ConnectionPtr m_connection;
     bool m_cancelled = false;
     bool m_skippedOthers = false; //!< Responses to other requests arrived first.
--- a/src/request/scoring/scoringrunner.cpp
+++ b/src/request/scoring/scoringrunner.cpp
@@ -152,8 +152,12 @@
     const auto now = m_dependencies.now();
     const auto timeLimit =
         callTimeLimit(route->targetLatency, route->timeout, entry.failures.lostCalls);
+    auto onHead = [this, id = server.id, now](const serverprotocol::ResponseMetadata &metadata) {
+        serverprotocol::noteRequestLimit(m_dependencies.health.limits(), id, metadata, now,
+                                         m_dependencies.now());
+    };
     entry.call = std::make_shared<ScoringCall>(entry.job.scorer, server.id, timeLimit,
-                                               m_dependencies.protocol);
+                                               m_dependencies.protocol, std::move(onHead));
     entry.server = server.id;
     entry.startedAt = now;
     entry.maxAttempts = route->maxAttempts;
