--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -8,16 +8,20 @@
 import time
 
 from platformworld.httpd import Answer, Loop, Request, Reset, Server
+from platformworld.limits import LimitHistory
 
 
 class Backend:
-    """What all backend servers have in common: an id, an incarnation, and their record in the store."""
+    """What all backend servers have in common: an id, an incarnation, and their record in the store. `limit_to` makes
+    one name a request limit in all its answers; what it then gets is in `limits`."""
 
     def __init__(self, loop: Loop, store, service: str, name: str, zone: str) -> None:
         self.store, self.service, self.name, self.zone = store, service, name, zone
         self.born = int(time.time() * 1000)
         self.state = "ready"
         self.requests: list[dict] = []
+        self.limits = LimitHistory()
+        self.software = "1.0"  #: Its software version.
         self.loop = loop
         self.server = Server(loop, "127.0.0.1", 0, self.handle).start()
         #: Where others reach it, when something stands between.
@@ -25,7 +29,8 @@
 
     def record(self) -> dict:
         return {"service": self.service, "address": self.address, "zone": self.zone, "slots": 8,
-                "state": self.state, "cold_remaining_ms": 0, "sequence": 1, "born": self.born}
+                "state": self.state, "cold_remaining_ms": 0, "sequence": 1, "born": self.born,
+                "version": self.software}
 
     def announce(self) -> None:
         self.store.put("keyed.servers", self.name, self.record())
@@ -45,11 +50,18 @@
     def stamp(self, request: Request) -> dict:
         return {"X-Request-Id": request.headers.get("x-request-id", ""), "X-Server-Stamp": f"{self.name}.1"}
 
+    def limit_to(self, per_second: float | None) -> None:
+        self.limits.change(per_second, time.monotonic())
+
     async def handle(self, request: Request) -> Answer:
         expected = request.headers.get("x-expect-instance")
         if expected is not None and expected != self.name:
             return Answer(421, {"X-Not-Executed": "1"})
-        return await self.serve(request)
+        self.limits.note_arrival(time.monotonic())
+        answer = await self.serve(request)
+        if self.limits.current is not None:
+            answer.headers["Server-Limit"] = str(self.limits.current)
+        return answer
 
 
 class PlainBackend(Backend):
--- a/tests/platformworld/world.py
+++ b/tests/platformworld/world.py
@@ -197,13 +197,13 @@
                 newest = (active[-1]["fence"], node)
         return None if newest is None else newest[1]
 
-    def batch(self, items: int, min_version: int = 1) -> bytes:
+    def batch(self, items: int, min_version: int = 1, first: int = 0) -> bytes:
         return json.dumps({"step": 1, "model": MODEL, "min_version": min_version, "group_count": items, "items": [
             {"id": f"item{number}", "path": f"/steps/{number}",
              "headers": {"X-Model": MODEL, "X-Token-Usage": "20,40", "X-Length-Hint": "6"},
              "body": base64.b64encode(b"prompt%d" % number).decode(), "tokens": 60, "group": f"g{number}",
              **self.scorer(number)}
-            for number in range(items)]}).encode()
+            for number in range(first, first + items)]}).encode()
 
     def scorer(self, number: int) -> dict:
         """Items are scored in worlds that have scorers."""
@@ -212,8 +212,9 @@
         return {"scorer": {"id": f"score{number}", "host": HOST, "path": f"/checks/{number}",
                            "body": base64.b64encode(b"check%d" % number).decode()}}
 
-    def submit(self, node: Node, batch: str, items: int, min_version: int = 1, timeout: float = 10) -> int:
-        return node.call("POST", f"/steps/{batch}", self.batch(items, min_version),
+    def submit(self, node: Node, batch: str, items: int, min_version: int = 1, timeout: float = 10,
+               first: int = 0) -> int:
+        return node.call("POST", f"/steps/{batch}", self.batch(items, min_version, first),
                          headers={"X-Request-Id": batch, "X-Deadline-Ms": "12000"}, timeout=timeout)[0]
 
     def results(self, node: Node, batch: str, after: int = 0) -> dict | None:
