--- a/src/platform/serverrecords.cpp
+++ b/src/platform/serverrecords.cpp
@@ -20,6 +20,15 @@
 //! No server is cold for longer; larger numbers are malformed and would overflow.
 constexpr auto MAX_COLD_MS = std::uint64_t(3'600'000);
 
+//! "version" of a server's record is that of its software; weights have theirs under "models".
+auto readSoftware(const boost::json::object &object) -> std::string
+{
+    const auto *value = object.if_contains("version");
+    if (value == nullptr || value->is_null())
+        return {};
+    return value->is_string() ? std::string(value->get_string()) : boost::json::serialize(*value);
+}
+
 } // namespace
 
 auto readModelVersions(const boost::json::object &object) -> std::map<std::string, std::uint64_t>
@@ -65,6 +74,7 @@
     record.endpoint = *address;
     record.zone = *zone;
     record.state = *state;
+    record.software = readSoftware(*object);
     record.slots = static_cast<std::uint32_t>(*slots);
     record.coldFor = std::chrono::milliseconds(
         std::min(unsignedField(*object, "cold_remaining_ms").value_or(0), MAX_COLD_MS));
--- a/src/platform/tests/serverrecords_tests.cpp
+++ b/src/platform/tests/serverrecords_tests.cpp
@@ -6,6 +6,19 @@
 using namespace nutmegplank::platform;
 using namespace std::chrono_literals;
 
+TEST(ServerRecords, ServerRecords_SoftwareVersion_IsReadWhateverItsType)
+{
+    const auto softwareIn = [](const std::string &field) {
+        const auto record = std::string(
+            R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready")");
+        return readServerRecord({ "i-1", record + field + "}", 1 })->software;
+    };
+    EXPECT_EQ(softwareIn(R"(,"version":"v1.1")"), "v1.1");
+    EXPECT_EQ(softwareIn(R"(,"version":7)"), "7");
+    EXPECT_EQ(softwareIn(R"(,"version":null)"), "");
+    EXPECT_EQ(softwareIn(""), "");
+}
+
 TEST(ServerRecords, ServerRecords_Registration_IsDecoded)
 {
     const auto record =
--- a/src/process/servers/servertable.cpp
+++ b/src/process/servers/servertable.cpp
@@ -16,6 +16,7 @@
                         { "service", record.service },
                         { "zone", record.zone },
                         { "endpoint", record.endpoint },
+                        { "software", record.software },
                         { "state", base::nameOf(SERVER_STATE_NAMES, record.state) },
                         { "incarnation", record.incarnation },
                         { "restarted", restarted },
--- a/src/process/servers/servertable.h
+++ b/src/process/servers/servertable.h
@@ -30,6 +30,7 @@
     std::string endpoint; //!< "IP number:port".
     std::string zone;
     ServerState state = ServerState::Ready;
+    std::string software; //!< Version of its software; empty if not known.
     std::uint32_t slots = 1;
     base::Duration coldFor { 0 };                      //!< How much longer it stays cold.
     std::int64_t incarnation = 0;                      //!< Unix milliseconds of its start.
