Reproduce texts and streams that are joined from two software versions

The stand-in engines name a software version in their records and in each event. The checks of whole texts in test_platform and the soak now ask for one software version as well.

--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -9,6 +9,7 @@
 import unittest
 
 from platformworld.calls import check_unchecked_calls
+from platformworld.texts import parse_event, software_of
 from platformworld.world import BIN, HOST, KEY, World, eventually
 
 #: Bounds of the users' pages, in seconds.
@@ -46,9 +47,11 @@
         for result in results:
             self.assertEqual(result["state"], "completed")
             lines = result["text"].split("\n")
-            self.assertEqual([line.rsplit("/", 1)[0] for line in lines],
-                             [f"{result['id']}/{number}" for number in range(1, 7)])
-            made_by = sorted({int(line.rsplit("/v", 1)[1]) for line in lines})
+            events = [parse_event(line) for line in lines]
+            self.assertEqual([(event.item, event.number) for event in events],
+                             [(result["id"], number) for number in range(1, 7)])
+            self.assertEqual(len(software_of(lines)), 1)
+            made_by = sorted({event.weights for event in events})
             self.assertEqual(sorted(result["versions"]), made_by)
 
     def test_batch_is_served_whole_at_every_machine(self):
--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -9,6 +9,7 @@
 
 from platformworld.httpd import Answer, Loop, Request, Reset, Server
 from platformworld.limits import LimitHistory
+from platformworld.texts import EventData
 
 
 class Backend:
@@ -38,6 +39,10 @@
     def leave(self) -> None:
         self.store.put("keyed.servers", self.name, None)
 
+    def drain(self) -> None:
+        self.state = "draining"
+        self.announce()
+
     def stop(self) -> None:
         self.server.stop()
 
@@ -178,7 +183,8 @@
                 change = f"x-weight-versions: {self.version}\n" if self.version != version else ""
                 version = self.version
                 self.last_event_at[item] = time.monotonic()
-                yield f"{change}id: {number}\ndata: {item}/{number}/v{version}\n\n".encode()
+                data = EventData(item, number, self.software, version)
+                yield f"{change}id: {number}\ndata: {data}\n\n".encode()
         finally:
             self.running -= 1
 
--- a/tests/platformworld/world.py
+++ b/tests/platformworld/world.py
@@ -169,6 +169,8 @@
                        {**route, "name": "once", "path_prefix": "/once/", "kind": "unsafe", "service": "desk"},
                        {**route, "name": "checks", "path_prefix": "/checks/", "kind": "safe", "service": "book",
                         "timeout_ms": 2000, "target_latency_ms": 400, "max_attempts": 4},
+                       {**route, "name": "talks", "path_prefix": "/talks/", "kind": "streaming", "resumable": True,
+                        "service": "quote", "target_latency_ms": 500},
                        {**route, "name": "steps", "path_prefix": "/steps/", "kind": "rollout", "service": "quote",
                         "retention_s": self.RETENTION_SECONDS, "result_deadline_ms": 7500, "max_attempts": 3}],
             "services": [{"name": "desk", "max_connections": 64}, {"name": "book", "max_connections": 64},
@@ -177,6 +179,18 @@
             "tenants": [{"name": "amend", "api_keys": self.keys}], "limits": {"idle_timeout_ms": 15000}, **changes}
         self.store.put("keyed.op", "config", configuration)
 
+    def add_engine(self, software: str) -> EngineBackend:
+        """A new server of a software version, as in a release."""
+        engine = EngineBackend(self.loop, self.store, "quote", f"i-e{len(self.engines)}", "a", MODEL)
+        engine.software = software
+        engine.checks_fences = self.peers_check_fences
+        if self.engines:
+            first = self.engines[0]
+            engine.version, engine.events, engine.pace = first.version, first.events, first.pace
+        self.engines.append(engine)
+        engine.announce()
+        return engine
+
     def name_version(self, version: int) -> None:
         self.store.put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": version})
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,7 @@
 import json
 
 from platformworld.calls import check_unchecked_calls
+from platformworld.texts import parse_event, software_of
 from platformworld.world import World, eventually
 from soak.callers import LOST_SECONDS, OrderCaller, Trainer
 from soak.soakworld import SoakWorld
@@ -55,9 +56,12 @@
     if result["state"] == "lost":
         return [] if ended or failures >= MOST_FAILURES else [f"MIXED: {item} of {batch} was given up too early"]
     lines = result["text"].split("\n")
-    if [line.rsplit("/", 1)[0] for line in lines] != [f"{item}/{number}" for number in range(1, Trainer.EVENTS + 1)]:
+    events = [parse_event(line) for line in lines]
+    if [(event.item, event.number) for event in events] != [(item, n) for n in range(1, Trainer.EVENTS + 1)]:
         return [f"ORDER: the text of {item} is {lines}"]
-    made_by = sorted({int(line.rsplit("/v", 1)[1]) for line in lines})
+    if len(software_of(lines)) > 1:
+        return [f"ORDER: the text of {item} is joined from software versions {sorted(software_of(lines))}"]
+    made_by = sorted({event.weights for event in events})
     if made_by != sorted(result["versions"]) or made_by[0] < min_version:
         return [f"VERSION: {item} names {result['versions']}, was made by {made_by}, asked for {min_version}"]
     return []
