Resume a text only at the software version that began it

The class of fault is state that outlives its maker without what makes it usable.

The transcript, stored progress and carried texts now hold the version that began a text; placement and moves accept only engines of that version; texts of unknown beginning are not restored.

--- a/src/platform/tests/decoderfuzz_tests.cpp
+++ b/src/platform/tests/decoderfuzz_tests.cpp
@@ -163,8 +163,9 @@
         (void)version::batch::decodeResults(
             mutate(version::batch::encodeResults("b", { { 0, "i1", false, "text", { 3 }, "s" } })),
             "b");
-        (void)version::batch::decodeProgress(
-            mutate(version::batch::encodeProgress("b", { { 0, 3, 3, "text", { 3 }, true } })), "b");
+        (void)version::batch::decodeProgress(mutate(version::batch::encodeProgress(
+                                                 "b", { { 0, 3, 3, "text", { 3 }, "1.0", true } })),
+                                             "b");
         meter.apply({ 5, mutate(version::metering::encodeClosedWindow({ 7, { { "w", 3 } } })) });
     }
 }
--- a/src/process/health/serverhealth.cpp
+++ b/src/process/health/serverhealth.cpp
@@ -38,6 +38,12 @@
     return found != m_entries.end() && now < found->second.pausedUntil;
 }
 
+auto ServerHealth::lostAt(const std::string &server) const -> base::TimePoint
+{
+    const auto found = m_entries.find(server);
+    return found == m_entries.end() ? base::TimePoint() : found->second.lostAt;
+}
+
 auto ServerHealth::noteStart(const std::string &server, base::TimePoint now) -> void
 {
     auto &starts = m_entries[server].starts;
@@ -71,6 +77,7 @@
     -> void
 {
     auto &entry = m_entries[server];
+    entry.lostAt = now;
     // Many requests lose their connections at one moment; that is one loss.
     if (now < entry.pausedUntil)
         return;
--- a/src/process/health/serverhealth.h
+++ b/src/process/health/serverhealth.h
@@ -41,6 +41,8 @@
                     base::TimePoint now) const -> std::uint32_t;
     //! Whether this process holds the server for unreachable.
     auto paused(const std::string &server, base::TimePoint now) const -> bool;
+    //! When the server was last found unreachable; the epoch of the clock if never.
+    auto lostAt(const std::string &server) const -> base::TimePoint;
     auto noteStart(const std::string &server, base::TimePoint now) -> void;
     auto noteAnswer(const std::string &server) -> void;
     auto noteFull(const std::string &server, base::TimePoint now) -> void;
@@ -56,6 +58,7 @@
     struct Entry
     {
         std::uint32_t losses = 0; //!< In a row.
+        base::TimePoint lostAt {};
         base::TimePoint pausedUntil {};
         base::TimePoint fullUntil {};
         base::TimePoint coldUntil {};
--- a/src/process/servers/servertable.cpp
+++ b/src/process/servers/servertable.cpp
@@ -87,6 +87,19 @@
     return server.record.state == ServerState::Ready && !m_zonesOut.contains(server.record.zone);
 }
 
+auto ServerTable::hasSeveralVersions(const std::string &service) const -> bool
+{
+    const std::string *first = nullptr;
+    for (const auto &[id, server] : m_servers) {
+        if (server.record.service != service)
+            continue;
+        if (first != nullptr && *first != server.record.software)
+            return true;
+        first = &server.record.software;
+    }
+    return false;
+}
+
 auto ServerTable::usableOf(const std::string &service) const -> std::vector<const Server *>
 {
     auto usableServers = std::vector<const Server *>();
--- a/src/process/servers/servertable.h
+++ b/src/process/servers/servertable.h
@@ -81,6 +81,8 @@
     auto usable(const Server &server) const -> bool;
     //! Servers of \a service that may get new work.
     auto usableOf(const std::string &service) const -> std::vector<const Server *>;
+    //! Whether servers of \a service, leaving ones included, have different software versions.
+    auto hasSeveralVersions(const std::string &service) const -> bool;
     auto all() const -> const std::map<std::string, Server> & { return m_servers; }
 
 private:
--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -74,6 +74,10 @@
         auto load = EngineLoad();
         load.id = id;
         load.service = record.service;
+        load.software = record.software;
+        // A server that was lost after it last registered may have restarted with other software.
+        load.softwareSure =
+            m_health.lostAt(id) <= server.heardAt || !m_servers.hasSeveralVersions(record.service);
         load.slots = record.slots;
         load.running = runningAt(id);
         load.cacheTokens = service->engine->cacheTokens;
--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -31,12 +31,13 @@
 
 ItemRun::ItemRun(http::Request request, std::string requestId,
                  std::shared_ptr<Transcript> transcript,
-                 const serverprotocol::IServerProtocol &protocol,
+                 const serverprotocol::IServerProtocol &protocol, std::string software,
                  serverprotocol::HeadObserver onHead)
     : m_request(std::move(request))
     , m_requestId(std::move(requestId))
     , m_transcript(std::move(transcript))
     , m_protocol(protocol)
+    , m_software(std::move(software))
     , m_onHead(std::move(onHead))
 { }
 
@@ -99,7 +100,7 @@
 {
     if (head.status == STATUS_OK) {
         m_weightVersion = metadata.weightVersion;
-        m_transcript->beginRun(metadata.weightVersion);
+        m_transcript->beginRun(metadata.weightVersion, m_software);
         return std::nullopt;
     }
     if (metadata.wrongServer)
--- a/src/request/rollout/itemrun.h
+++ b/src/request/rollout/itemrun.h
@@ -53,10 +53,11 @@
 class ItemRun : public std::enable_shared_from_this<ItemRun>
 {
 public:
-    //! A response that does not carry \a requestId belongs to another request.
+    //! A response that does not carry \a requestId belongs to another request. \a software is the
+    //! software version of the engine.
     ItemRun(connection::http::Request request, std::string requestId,
             std::shared_ptr<Transcript> transcript, const serverprotocol::IServerProtocol &protocol,
-            serverprotocol::HeadObserver onHead);
+            std::string software, serverprotocol::HeadObserver onHead);
 
     auto run(std::shared_ptr<connection::backend::BackendPool> pool)
         -> boost::asio::awaitable<RunOutcome>;
@@ -84,6 +85,7 @@
     std::string m_requestId;
     std::shared_ptr<Transcript> m_transcript;
     const serverprotocol::IServerProtocol &m_protocol;
+    std::string m_software;
     serverprotocol::HeadObserver m_onHead;
     connection::backend::ConnectionPtr m_connection;
     std::optional<RunOutcome> m_cancelled;
--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -56,7 +56,11 @@
         const auto completes = saved.complete && item.state != ItemState::Scoring;
         if (saved.events <= item.transcript->eventCount() && !completes)
             continue;
-        item.transcript->restore(saved.lastEvent, saved.events, saved.text, saved.versions);
+        // No engine may resume a text if it is not known where the text began.
+        if (saved.software.empty() && !saved.complete)
+            continue;
+        item.transcript->restore(saved.lastEvent, saved.events, saved.text, saved.versions,
+                                 saved.software);
         item.savedEvents = saved.events;
         item.savedComplete = saved.complete;
         if (saved.complete)
@@ -75,6 +79,7 @@
              transcript.eventCount(),
              transcript.text(),
              transcript.versions(),
+             transcript.software(),
              item.state == ItemState::Scoring };
 }
 
@@ -103,6 +108,8 @@
     entry.dueAt = batch.dueAt;
     entry.avoidedEngine = item.avoidedEngine;
     entry.route = item.route;
+    entry.hasText = !item.transcript->empty();
+    entry.software = item.transcript->software();
     return entry;
 }
 
--- a/src/request/rollout/openbatch.h
+++ b/src/request/rollout/openbatch.h
@@ -41,6 +41,7 @@
     std::uint32_t sampledEvents = 0; //!< Of the current run, at the last interval sample.
     base::TimePoint sampledAt {};    //!< Time of the last event in that sample.
     base::TimePoint notBefore {};    //!< Earliest start of the next run.
+    base::TimePoint waitingSince {}; //!< End of the last run, or opening of the batch.
 };
 
 //! A batch whose items are being run.
--- a/src/request/rollout/placement.cpp
+++ b/src/request/rollout/placement.cpp
@@ -65,6 +65,8 @@
         return false;
     if (item.route == nullptr || !servesRoute(engine, *item.route))
         return false;
+    if (!canResumeAt(item, engine))
+        return false;
     const auto version = engine.modelVersion.find(item.model);
     if (version == engine.modelVersion.end() || version->second < item.minVersion)
         return false;
@@ -76,6 +78,13 @@
         <= MAX_CACHE_SHARE * static_cast<double>(engine.cacheTokens);
 }
 
+auto canResumeAt(const WaitingItem &item, const EngineLoad &engine) -> bool
+{
+    if (!item.hasText)
+        return true;
+    return !item.software.empty() && item.software == engine.confirmedSoftware();
+}
+
 auto reserve(const WaitingItem &item, EngineLoad &engine) -> void
 {
     ++engine.running;
--- a/src/request/rollout/placement.h
+++ b/src/request/rollout/placement.h
@@ -15,6 +15,8 @@
 {
     std::string id;
     std::string service;
+    std::string software;     //!< Version of its software by its record; empty if not known.
+    bool softwareSure = true; //!< The process that answers is the one of the record.
     std::uint32_t slots = 1;
     std::uint32_t running = 0;        //!< Items running in its slots.
     std::uint64_t cacheTokens = 0;    //!< Cache capacity in tokens; 0 if not known.
@@ -22,6 +24,9 @@
     double slowdown = 1.0;            //!< Time per event relative to the median engine.
     std::uint32_t startsLeft = 0;     //!< Further requests that may be sent to it now.
     std::map<std::string, std::uint64_t> modelVersion; //!< Weight version by model.
+
+    //! Software version of what it generates now; empty if not known for certain.
+    auto confirmedSoftware() const -> std::string { return softwareSure ? software : ""; }
 };
 
 //! An item waiting for a slot at an engine.
@@ -33,7 +38,9 @@
     std::uint64_t expectedTokens = 0; //!< Estimated output still to be generated.
     std::uint64_t contextTokens = 0;  //!< Cache tokens needed at its start; set to the prompt's.
     base::TimePoint dueAt {};
-    std::string avoidedEngine;                      //!< Engine that failed it, or was slow.
+    std::string avoidedEngine; //!< Engine that failed it, or was slow.
+    bool hasText = false;      //!< The next run resumes a text.
+    std::string software;      //!< Software version that began the text; empty if not known.
     const version::routing::Route *route = nullptr; //!< Lists the services that may run it.
 };
 
@@ -46,6 +53,8 @@
 //! Whether \a engine may run \a item now: it serves the item's route with allowed weights, and has
 //! a slot and cache for the item's expected output.
 auto canRunAt(const WaitingItem &item, const EngineLoad &engine) -> bool;
+//! Whether \a engine may go on with the item's text, which only its own software version may.
+auto canResumeAt(const WaitingItem &item, const EngineLoad &engine) -> bool;
 //! Adds the item's run to the load of \a engine.
 auto reserve(const WaitingItem &item, EngineLoad &engine) -> void;
 
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -7,6 +7,7 @@
 #include "process/logging/logging.h"
 #include "process/logging/taskfailure.h"
 #include "request/rollout/moveplan.h"
+#include "request/rollout/resumption.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -128,6 +129,7 @@
     openBatch.expiresAtMs = head.submittedMs + base::toMilliseconds(routeSettings.retention);
     for (auto index = std::size_t(0); index < batch.itemCount(); ++index) {
         auto &item = openBatch.items.emplace_back();
+        item.waitingSince = m_dependencies.now();
         item.transcript = std::make_shared<Transcript>(
             TranscriptRules { head.minVersion, routeSettings.singleVersion });
         // The log already has a result of the item.
@@ -196,12 +198,38 @@
     }
 }
 
+//! Items whose text no engine may go on with, or not soon enough, begin again.
+auto RolloutExecutor::discardStrandedTexts(const std::vector<EngineLoad> &engines) -> void
+{
+    const auto now = m_dependencies.now();
+    for (auto &[id, batch] : m_batches.all()) {
+        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
+            auto &item = batch.items[index];
+            if (item.state != ItemState::Waiting || item.transcript->empty())
+                continue;
+            const auto reason = reasonToBeginAgain(describeWaiting(batch, index, 0), engines,
+                                                   now - item.waitingSince);
+            if (reason.empty())
+                continue;
+            logging::info("rollout.text_discarded",
+                          { { "batch", id },
+                            { "item", batch.submission->items[index].id },
+                            { "begun_at", item.transcript->software() },
+                            { "events", item.transcript->eventCount() },
+                            { "reason", reason } });
+            item.transcript->reset();
+            item.savedEvents = 0;
+        }
+    }
+}
+
 auto RolloutExecutor::place() -> void
 {
+    auto engines = m_loadTracker.loads(m_dependencies.now());
+    discardStrandedTexts(engines);
     auto waiting = std::vector<WaitingItem>();
     auto keys = std::vector<ItemKey>();
     m_batches.collectWaiting(waiting, keys, m_dependencies.now());
-    auto engines = m_loadTracker.loads(m_dependencies.now());
     const auto anySlow = std::ranges::any_of(engines, isSlow);
     if (waiting.empty() && !anySlow)
         return;
@@ -251,7 +279,7 @@
         return;
     item.run = std::make_shared<ItemRun>(
         buildRequest(batch, key.item, engine), batch.submission->items[key.item].id,
-        item.transcript, m_dependencies.protocol,
+        item.transcript, m_dependencies.protocol, engine.confirmedSoftware(),
         m_loadTracker.limitObserver(engine.id, m_dependencies.now()));
     item.state = ItemState::Running;
     item.engine = engine.id;
@@ -272,7 +300,8 @@
         { { "batch", key.batch },
           { "item", batch.submission->items[key.item].id },
           { "server", engine.id },
-          { "software", server.record.software },
+          { "software", engine.confirmedSoftware() },
+          { "begun_at", batch.items[key.item].transcript->software() },
           { "running", engine.running },
           { "slowdown", engine.slowdown },
           { "weights", engine.modelVersion.at(batch.submission->head.model) },
@@ -315,9 +344,33 @@
           { "detail", outcome.detail },
           { "events", item.transcript->eventCount() },
           { "ran_ms", base::toMilliseconds(m_dependencies.now() - item.run->startedAt()) } });
+    auto judged = outcome;
+    if (mayHoldOtherSoftware(item, server, outcome)) {
+        judged.end = RunEnd::Malformed;
+        logging::warning("rollout.software_changed",
+                         { { "batch", key.batch },
+                           { "item", batch.submission->items[key.item].id },
+                           { "server", server.record.id },
+                           { "software", server.record.software } });
+    }
     item.run.reset();
     item.state = ItemState::Waiting;
-    applyDecision(batch, key.item, outcome);
+    item.waitingSince = m_dependencies.now();
+    applyDecision(batch, key.item, judged);
+}
+
+//! Whether the engine registered with other software during the run, so that its events may not fit
+//! to those before.
+auto RolloutExecutor::mayHoldOtherSoftware(const OpenItem &item, const Server &server,
+                                           const RunOutcome &outcome) const -> bool
+{
+    const auto *current = m_dependencies.servers.find(server.record.id);
+    if (current == nullptr || current->record.software == server.record.software
+        || item.run->runEvents() == 0)
+        return false;
+    const auto isWhole =
+        outcome.end == RunEnd::Completed && item.run->runEvents() == item.transcript->eventCount();
+    return !isWhole;
 }
 
 auto RolloutExecutor::applyDecision(OpenBatch &batch, std::size_t index, const RunOutcome &outcome)
--- a/src/request/rollout/tests/transcript_tests.cpp
+++ b/src/request/rollout/tests/transcript_tests.cpp
@@ -13,12 +13,24 @@
 
 } // namespace
 
+TEST(Transcript, Transcript_ResumedText_KeepsTheSoftwareThatBeganIt)
+{
+    auto transcript = Transcript(TranscriptRules {});
+    transcript.beginRun(4, "1.0");
+    transcript.append({ 1, "a" });
+    transcript.beginRun(4, "2.0");
+    EXPECT_EQ(transcript.software(), "1.0");
+    transcript.reset();
+    transcript.beginRun(4, "2.0");
+    EXPECT_EQ(transcript.software(), "2.0");
+}
+
 TEST(Transcript, Transcript_ResumedAtAnotherEngine_ListsBothVersions)
 {
     auto transcript = Transcript({ 4, false });
-    transcript.beginRun(4);
+    transcript.beginRun(4, "1.0");
     EXPECT_EQ(transcript.append(event(1, "a")), AppendResult::Appended);
-    transcript.beginRun(5);
+    transcript.beginRun(5, "1.0");
     EXPECT_EQ(transcript.append(event(2, "b")), AppendResult::Appended);
     EXPECT_EQ(transcript.text(), "a\nb");
     EXPECT_EQ(transcript.versions(), (std::vector<std::uint64_t> { 4, 5 }));
@@ -27,16 +39,16 @@
 TEST(Transcript, Transcript_RunWithoutAnEvent_AddsNoVersion)
 {
     auto transcript = Transcript({ 4, false });
-    transcript.beginRun(4);
+    transcript.beginRun(4, "1.0");
     transcript.append(event(1, "a"));
-    transcript.beginRun(5);
+    transcript.beginRun(5, "1.0");
     EXPECT_EQ(transcript.versions(), std::vector<std::uint64_t> { 4 });
 }
 
 TEST(Transcript, Transcript_MissingOrRepeatedEvent_IsAGap)
 {
     auto transcript = Transcript({ 0, false });
-    transcript.beginRun(1);
+    transcript.beginRun(1, "1.0");
     EXPECT_EQ(transcript.append(event(2, "late start")), AppendResult::Gap);
     EXPECT_EQ(transcript.append(event(1, "a")), AppendResult::Appended);
     EXPECT_EQ(transcript.append(event(1, "a")), AppendResult::Gap);
@@ -46,9 +58,9 @@
 TEST(Transcript, Transcript_OldOrUnknownWeights_AreRejected)
 {
     auto transcript = Transcript({ 4, false });
-    transcript.beginRun({});
+    transcript.beginRun({}, "1.0");
     EXPECT_EQ(transcript.append(event(1, "a")), AppendResult::NoVersion);
-    transcript.beginRun(3);
+    transcript.beginRun(3, "1.0");
     EXPECT_EQ(transcript.append(event(1, "a")), AppendResult::OldVersion);
     EXPECT_TRUE(transcript.empty());
 }
@@ -56,7 +68,7 @@
 TEST(Transcript, Transcript_SingleVersionRoute_RejectsASecondVersion)
 {
     auto transcript = Transcript({ 0, true });
-    transcript.beginRun(4);
+    transcript.beginRun(4, "1.0");
     EXPECT_EQ(transcript.append(event(1, "a")), AppendResult::Appended);
     EXPECT_EQ(transcript.append(event(2, "b", 5)), AppendResult::MixedVersions);
 }
@@ -64,8 +76,8 @@
 TEST(Transcript, Transcript_Restored_ContinuesAfterItsLastEvent)
 {
     auto transcript = Transcript({ 4, false });
-    transcript.restore(2, 2, "a\nb", { 4 });
-    transcript.beginRun(5);
+    transcript.restore(2, 2, "a\nb", { 4 }, "1.0");
+    transcript.beginRun(5, "1.0");
     EXPECT_EQ(transcript.append(event(1, "a")), AppendResult::Gap);
     EXPECT_EQ(transcript.append(event(3, "c")), AppendResult::Appended);
     EXPECT_EQ(transcript.text(), "a\nb\nc");
--- a/src/request/rollout/transcript.cpp
+++ b/src/request/rollout/transcript.cpp
@@ -4,6 +4,13 @@
 
 namespace nutmegplank::request::rollout {
 
+auto Transcript::beginRun(std::optional<std::uint64_t> version, const std::string &software) -> void
+{
+    m_version = version;
+    if (m_events == 0)
+        m_software = software;
+}
+
 auto Transcript::append(const Event &event) -> AppendResult
 {
     if (m_events > 0 && event.id != m_lastId + 1)
@@ -32,13 +39,14 @@
 }
 
 auto Transcript::restore(std::uint64_t lastId, std::uint32_t events, std::string text,
-                         std::vector<std::uint64_t> versions) -> void
+                         std::vector<std::uint64_t> versions, std::string software) -> void
 {
     m_version.reset();
     m_lastId = lastId;
     m_events = events;
     m_text = std::move(text);
     m_versions = std::move(versions);
+    m_software = std::move(software);
 }
 
 auto Transcript::reset() -> void
@@ -48,6 +56,7 @@
     m_events = 0;
     m_text.clear();
     m_versions.clear();
+    m_software.clear();
 }
 
 } // namespace nutmegplank::request::rollout
--- a/src/request/rollout/transcript.h
+++ b/src/request/rollout/transcript.h
@@ -34,14 +34,15 @@
     { }
 
     //! Starts a run, or resumes after the last event, with \a version if the engine reported one.
-    auto beginRun(std::optional<std::uint64_t> version) -> void { m_version = version; }
+    //! \a software is the software version of the engine; empty if not known.
+    auto beginRun(std::optional<std::uint64_t> version, const std::string &software) -> void;
     auto append(const Event &event) -> AppendResult;
     //! Discards the text, so that the next run starts from the beginning.
     auto reset() -> void;
 
     //! Replaces the contents with the progress that an earlier lease holder stored.
     auto restore(std::uint64_t lastId, std::uint32_t events, std::string text,
-                 std::vector<std::uint64_t> versions) -> void;
+                 std::vector<std::uint64_t> versions, std::string software) -> void;
 
     auto empty() const -> bool { return m_events == 0; }
     auto eventCount() const -> std::uint32_t { return m_events; }
@@ -49,6 +50,9 @@
     auto text() const -> const std::string & { return m_text; }
     //! In the order of the first event that each generated.
     auto versions() const -> const std::vector<std::uint64_t> & { return m_versions; }
+    //! Software version of the engine that began the text; empty if not known. Only engines of the
+    //! same version may resume it.
+    auto software() const -> const std::string & { return m_software; }
 
 private:
     TranscriptRules m_rules;
@@ -56,6 +60,7 @@
     std::uint64_t m_lastId = 0;
     std::uint32_t m_events = 0;
     std::string m_text;
+    std::string m_software;
     std::vector<std::uint64_t> m_versions;
 };
 
--- a/src/version/batch/batch.h
+++ b/src/version/batch/batch.h
@@ -76,6 +76,7 @@
     std::uint32_t events = 0;
     std::string text;
     std::vector<std::uint64_t> versions;
+    std::string software;  //!< Software version that began the text; empty if not known.
     bool complete = false; //!< The text is whole and only its score is missing.
 };
 
--- a/src/version/batch/internal/batchcodec.cpp
+++ b/src/version/batch/internal/batchcodec.cpp
@@ -118,6 +118,7 @@
         added.set_events(progress.events);
         added.set_text(progress.text);
         added.set_complete(progress.complete);
+        added.set_software(progress.software);
         for (const auto version : progress.versions)
             added.add_versions(version);
     }
@@ -251,6 +252,7 @@
         progress.text = stored.text();
         progress.versions.assign(stored.versions().begin(), stored.versions().end());
         progress.complete = stored.complete();
+        progress.software = stored.software();
     }
     return items;
 }
--- a/src/version/batch/tests/batchcodec_tests.cpp
+++ b/src/version/batch/tests/batchcodec_tests.cpp
@@ -93,7 +93,9 @@
         decodeResults(encodeResults("b", { { 0, "i", false, "text", { 3 }, "stamp" } }), "b");
     EXPECT_EQ(results->front().score, "stamp");
     const auto progress = decodeProgress(
-        encodeProgress("b", { { 4, 2, 2, "a\nb", { 3 }, true }, { 5, 1, 1, "a", { 3 } } }), "b");
+        encodeProgress("b", { { 4, 2, 2, "a\nb", { 3 }, "1.0", true }, { 5, 1, 1, "a", { 3 } } }),
+        "b");
     EXPECT_TRUE(progress->front().complete);
     EXPECT_FALSE(progress->back().complete);
+    EXPECT_EQ(progress->front().software, "1.0");
 }
