Let a caller take up a stream only at the software version that began it

Callers that took a broken stream up again got the rest of it from a server of another software version, with nothing in the answer to show it; after a loss of all machines nothing could have told.

version/streamorigin keeps it in the platform's log. Each service has a baseline version; a stream that begins at another one is recorded before its request is sent, so a stream without a record began at the baseline, and nothing is written while a service has one version. A baseline is closed before it is replaced, until no unrecorded stream can be taken up. A take-up reads the log to its end, goes to a server of the version, and is refused at once if none is left or the beginning is not known.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -80,6 +80,8 @@
                  std::max<base::Duration>(SERVER_RETRY, result.retryAfter) };
     case request::forward::ForwardOutcome::Quarantined:
         return { RefusalCode::Quarantined, "servers crash under this request", QUARANTINED_RETRY };
+    case request::forward::ForwardOutcome::CannotResume:
+        return { RefusalCode::CannotResume, result.detail };
     case request::forward::ForwardOutcome::Expired:
         return { RefusalCode::Expired, result.detail };
     case request::forward::ForwardOutcome::Answered:
@@ -202,6 +204,8 @@
     call.requestId = exchange.call.requestId;
     call.workspace = exchange.workspace;
     call.route = route;
+    call.resumesStream = exchange.call.resumesStream;
+    call.streamBegunBy = exchange.call.streamBegunBy;
     auto patience = route.timeout;
     if (exchange.call.timeLeft.count() > 0)
         patience = std::min(patience, exchange.call.timeLeft);
--- a/src/app/node/conductor.h
+++ b/src/app/node/conductor.h
@@ -53,6 +53,8 @@
     //! Whether a call under \a fence may be written now, and by when it must have ended.
     auto permitCall(std::uint64_t fence, base::TimePoint now) const
         -> std::optional<version::leadership::CallPermission>;
+    //! Whether this machine acts for all at the moment.
+    auto isInCharge(base::TimePoint now) const -> bool { return orderFence(now).has_value(); }
     //! Hands the lease back and ends what this machine runs for others. While the log is away
     //! nobody could take over, so that a holder goes on until it is back, or until \a latest.
     auto leave(base::TimePoint latest) -> boost::asio::awaitable<void>;
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -108,8 +108,10 @@
                     m_pools, m_serverProtocol, m_fencedCalls, m_engineControl, m_duties, m_trueTime,
                     m_metrics, m_settings, m_incarnation, [this] { return m_routing.load(); },
                     [this] { return m_namedVersions; } })
+    , m_streamOrigins(m_runtime.context(), m_store, m_servers,
+                      [this](base::TimePoint now) { return m_conductor.isInCharge(now); })
     , m_forwarder({ m_runtime.context(), m_servers, m_health, m_pools, m_serverProtocol, m_metrics,
-                    m_suspects, m_settings.node, m_settings.zone,
+                    m_suspects, m_streamOrigins, m_settings.node, m_settings.zone,
                     [this] { return m_routing.load(); }, [] { return process::clock::now(); },
                     [this] { return m_membership.memberCount(process::clock::now()); },
                     [this](const std::string &workspace) { m_conductor.countRun(workspace); } })
@@ -272,6 +274,8 @@
                     { "routes", (*table)->routes.size() },
                     { "keys", (*table)->workspaces.size() } });
     m_routing.store(*table);
+    if (std::ranges::any_of((*table)->routes, &version::routing::Route::resumable))
+        m_streamOrigins.start();
     m_callerServer->setLimits(callerLimits());
     m_conductor.wake();
 }
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -8,6 +8,7 @@
 #include "app/node/conductor.h"
 #include "app/node/membership.h"
 #include "app/node/relay.h"
+#include "app/node/streamorigins.h"
 #include "connection/http/httpserver.h"
 #include "platform/callprotocol.h"
 #include "platform/enginecontrol.h"
@@ -77,6 +78,7 @@
     BatchStore m_batches;
     Membership m_membership;
     Conductor m_conductor;
+    StreamOrigins m_streamOrigins;
     request::forward::Forwarder m_forwarder;
     Relay m_relay;
     CallService m_calls;
--- a/src/app/node/partitions.h
+++ b/src/app/node/partitions.h
@@ -7,6 +7,10 @@
 
 constexpr auto PRODUCT_TOPIC = "nutmegplank";
 constexpr auto MEMBER_TOPIC = "keyed.members";
+//! Software versions at which callers' streams began, and their baselines; see
+//! version::streamorigin.
+constexpr auto ORIGIN_TOPIC = "streams";
+constexpr auto BASELINE_TOPIC = "keyed.software";
 //! Bodies and texts of batches, over all its partitions; see version::batch::BulkPartitions.
 constexpr auto BULK_TOPIC = "bulk";
 
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -57,6 +57,7 @@
     case RefusalCode::NoServer:
     case RefusalCode::StoreUnavailable:
     case RefusalCode::Unsure:
+    case RefusalCode::CannotResume:
     case RefusalCode::Quarantined:
         return 503;
     }
@@ -138,6 +139,8 @@
     call.timeLeft = std::chrono::milliseconds(deadline.value_or(0));
     const auto wait = parseUnsigned(http::headerValue(request.headers, wireheaders::MAX_WAIT));
     call.wait = std::chrono::milliseconds(wait.value_or(0));
+    call.resumesStream = !http::headerValue(request.headers, wireheaders::LAST_EVENT_ID).empty();
+    call.streamBegunBy = http::headerValue(request.headers, wireheaders::RESUMES);
     if (call.path.starts_with(BATCH_PREFIX) && request.method == "GET") {
         call.kind = CallKind::ReadResults;
         call.batchId = call.path.substr(BATCH_PREFIX.size());
--- a/src/platform/operatorrecords.cpp
+++ b/src/platform/operatorrecords.cpp
@@ -66,6 +66,7 @@
     route.priority = static_cast<std::uint32_t>(unsignedField(object, "priority").value_or(5));
     // "public" routes need no API key.
     route.open = boolField(object, "public").value_or(false);
+    route.resumable = boolField(object, "resumable").value_or(false);
     route.singleVersion = boolField(object, "single_version").value_or(false);
     if (const auto value = numberField(object, "retention_s"))
         route.retention = durationFromSeconds(*value);
--- a/src/platform/wireheaders.h
+++ b/src/platform/wireheaders.h
@@ -25,4 +25,7 @@
 constexpr auto LENGTH_HINT = "X-Length-Hint";   //!< Expected number of output tokens.
 constexpr auto LAST_EVENT_ID = "Last-Event-Id"; //!< Resume the stream after this event.
 
+//! Id of the caller's attempt that began the stream which the request takes up again.
+constexpr auto RESUMES = "Resumes";
+
 } // namespace nutmegplank::platform::wireheaders
--- a/src/request/call/call.h
+++ b/src/request/call/call.h
@@ -34,6 +34,8 @@
     std::string path;              //!< Without the query string.
     std::string key;               //!< API key as sent by the caller; must not be logged.
     base::Duration timeLeft { 0 }; //!< How long the caller waits; 0 if it sets no limit.
+    bool resumesStream = false;    //!< Takes up a stream after its last event.
+    std::string streamBegunBy;     //!< Request id of the attempt that began it; empty if not named.
     std::string batchId;
     std::string itemId;
     std::uint64_t position = 0; //!< Index of the first result to return.
@@ -53,10 +55,11 @@
     NoBatch,
     Unknown, //!< The request may have run or the batch may have been stored.
     Expired,
-    Quarantined, //!< Quarantined because backend servers crash when they run it.
+    CannotResume, //!< No backend server may go on with the stream.
+    Quarantined,  //!< Quarantined because backend servers crash when they run it.
 };
 
-constexpr auto REFUSAL_CODE_NAMES = base::EnumTable<RefusalCode, 11> { {
+constexpr auto REFUSAL_CODE_NAMES = base::EnumTable<RefusalCode, 12> { {
     { RefusalCode::NotReady, "not_ready" },
     { RefusalCode::NoRoute, "no_route" },
     { RefusalCode::UnknownKey, "unknown_key" },
@@ -67,6 +70,7 @@
     { RefusalCode::NoBatch, "no_batch" },
     { RefusalCode::Unknown, "unknown" },
     { RefusalCode::Expired, "expired" },
+    { RefusalCode::CannotResume, "cannot_resume" },
     { RefusalCode::Quarantined, "condemned" },
 } };
 
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -50,6 +50,18 @@
     return route.kind == RouteKind::Stream;
 }
 
+auto isResumable(const version::routing::Route &route) -> bool
+{
+    return isStream(route) && route.resumable;
+}
+
+auto serviceFor(const ForwardCall &call) -> const std::string &
+{
+    constexpr auto BUCKETS = 10000U;
+    const auto bucket = base::hash64(call.requestId) % BUCKETS;
+    return version::routing::pickService(call.route, static_cast<double>(bucket) / BUCKETS);
+}
+
 } // namespace
 
 auto ForwardHandle::cancel() -> void
@@ -85,11 +97,33 @@
     return { found->coldRequestsPerSecond / static_cast<double>(machineCount), found->coldStart };
 }
 
-auto serviceFor(const ForwardCall &call) -> const std::string &
+//! Software version of the process that answers for \a server; empty if not known for certain.
+auto Forwarder::softwareOf(const Server &server) const -> std::string
 {
-    constexpr auto BUCKETS = 10000U;
-    const auto bucket = base::hash64(call.requestId) % BUCKETS;
-    return version::routing::pickService(call.route, static_cast<double>(bucket) / BUCKETS);
+    const auto &record = server.record;
+    // A server that was lost after it last registered may have restarted with other software.
+    const auto isSure = m_dependencies.health.lostAt(record.id) <= server.heardAt
+        || !m_dependencies.servers.hasSeveralVersions(record.service);
+    return isSure ? record.software : std::string();
+}
+
+auto Forwarder::isLeft(const std::string &service, const std::string &software) const -> bool
+{
+    return std::ranges::any_of(m_dependencies.servers.usableOf(service), [&](const Server *server) {
+        return server->record.software == software;
+    });
+}
+
+auto Forwarder::prepareResumption(ForwardCall &call) -> asio::awaitable<std::string>
+{
+    const auto service = serviceFor(call);
+    const auto begunAt = co_await m_dependencies.streamOrigins.find(service, call.streamBegunBy);
+    if (!begunAt.has_value())
+        co_return "it is not known which software version began the stream";
+    call.software = *begunAt;
+    if (!isLeft(service, call.software))
+        co_return "no server of the software version that began the stream is left";
+    co_return std::string();
 }
 
 auto Forwarder::waitForAllowance(const ForwardCall &call) -> base::Duration
@@ -136,7 +170,8 @@
         candidate.latency = latency == m_latency.end() ? base::Duration(0) : latency->second;
         candidate.sameZone = server->record.zone == m_dependencies.zone;
         candidate.preferred = id == preferredServer;
-        candidate.tried = progress.tried.contains(id) || progress.unavailable.contains(id);
+        candidate.tried = progress.tried.contains(id) || progress.unavailable.contains(id)
+            || !maySend(call, *server, progress);
         candidates.push_back(std::move(candidate));
     }
     const auto pickedIndex = pickServer(candidates);
@@ -145,6 +180,30 @@
     return *servers[*pickedIndex];
 }
 
+//! Whether a stream that begins at the server must be recorded first. Once one record is made,
+//! others must correct it if the stream begins elsewhere.
+auto Forwarder::mustRecordOrigin(const ForwardCall &call, const Server &server,
+                                 const Progress &progress) const -> bool
+{
+    if (!isResumable(call.route) || call.resumesStream)
+        return false;
+    const auto software = softwareOf(server);
+    if (progress.recorded)
+        return software.empty() || software != call.software;
+    return m_dependencies.streamOrigins.mustRecord(server.record.service, software);
+}
+
+//! Whether the software version of the server allows the request to be sent to it.
+auto Forwarder::maySend(const ForwardCall &call, const Server &server,
+                        const Progress &progress) const -> bool
+{
+    if (!isResumable(call.route))
+        return true;
+    if (!call.software.empty())
+        return softwareOf(server) == call.software;
+    return m_dependencies.streamOrigins.canRecord() || !mustRecordOrigin(call, server, progress);
+}
+
 auto Forwarder::attemptDeadline(const ForwardCall &call, const Progress &progress) const
     -> base::TimePoint
 {
@@ -170,6 +229,13 @@
         co_return result;
     }
     auto progress = Progress();
+    if (isResumable(call.route) && call.resumesStream) {
+        result.detail = co_await prepareResumption(call);
+        if (!result.detail.empty()) {
+            result.end = ForwardOutcome::CannotResume;
+            co_return result;
+        }
+    }
     auto selectionDeadline =
         m_dependencies.now() + call.route.targetLatency / SELECTION_TIMEOUT_DIVISOR;
     while (!handle->cancelled()) {
@@ -195,6 +261,22 @@
             progress.unavailable.clear();
             continue;
         }
+        if (mustRecordOrigin(call, *server, progress)) {
+            const auto software = softwareOf(*server);
+            auto origin = version::streamorigin::StreamOrigin { call.requestId,
+                                                                server->record.service, software };
+            progress.recorded = co_await m_dependencies.streamOrigins.record(std::move(origin));
+            if (!progress.recorded) {
+                result.end = progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::NotRun;
+                result.detail = "the software version of the server cannot be recorded";
+                co_return result;
+            }
+            // The choice is made again, since other requests may have used up what the server
+            // could take.
+            call.software = software;
+            if (!software.empty())
+                continue;
+        }
         auto attemptResult =
             co_await attempt(call, *server, attemptDeadline(call, progress), *handle, sink);
         noteAttempt(call, *server, attemptResult, now, progress);
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -13,6 +13,7 @@
 #include "process/health/serverhealth.h"
 #include "process/metrics/metrics.h"
 #include "process/servers/servertable.h"
+#include "request/forward/istreamorigins.h"
 #include "request/forward/poisonrequestdetector.h"
 #include "request/forward/serverpicker.h"
 #include "request/serverprotocol/iserverprotocol.h"
@@ -27,24 +28,29 @@
     std::string requestId;
     std::string workspace;
     version::routing::Route route;
+    bool resumesStream = false;  //!< Takes up a stream after its last event.
+    std::string streamBegunBy;   //!< Request id of the attempt that began it; empty if not named.
+    std::string software;        //!< Only servers of this version may get it; empty: all.
     base::TimePoint deadline {}; //!< The earlier of the caller's deadline and the route's timeout.
 };
 
 enum class ForwardOutcome {
-    Answered,    //!< A backend server answered.
-    NotRun,      //!< No server has run the request, and none will.
-    Unknown,     //!< The request may have run; its answer is lost.
-    Expired,     //!< The deadline has passed; the request may have run.
-    Quarantined, //!< Not sent, because the request has crashed too many servers.
+    Answered,     //!< A backend server answered.
+    NotRun,       //!< No server has run the request, and none will.
+    Unknown,      //!< The request may have run; its answer is lost.
+    Expired,      //!< The deadline has passed; the request may have run.
+    Quarantined,  //!< Not sent, because the request has crashed too many servers.
+    CannotResume, //!< Not sent, as no server may go on with the stream.
     CallerGone,
 };
 
-constexpr auto FORWARD_OUTCOME_NAMES = base::EnumTable<ForwardOutcome, 6> { {
+constexpr auto FORWARD_OUTCOME_NAMES = base::EnumTable<ForwardOutcome, 7> { {
     { ForwardOutcome::Answered, "answered" },
     { ForwardOutcome::NotRun, "not_run" },
     { ForwardOutcome::Unknown, "unknown" },
     { ForwardOutcome::Expired, "expired" },
     { ForwardOutcome::Quarantined, "condemned" },
+    { ForwardOutcome::CannotResume, "cannot_resume" },
     { ForwardOutcome::CallerGone, "caller_gone" },
 } };
 
@@ -99,6 +105,7 @@
     const serverprotocol::IServerProtocol &protocol;
     process::metrics::Registry &metrics;
     PoisonRequestDetector &poisonRequests;
+    IStreamOrigins &streamOrigins;
     std::string node;
     std::string zone;
     std::function<version::routing::RoutingTablePtr()> routing;
@@ -156,6 +163,7 @@
         std::uint32_t ran = 0;
         std::uint32_t sent = 0; //!< Attempts that a server may have run.
         bool mayHaveRun = false;
+        bool recorded = false; //!< The origin of the stream has been recorded.
     };
 
     auto chooseServer(const ForwardCall &call, const Progress &progress)
@@ -171,6 +179,15 @@
     auto readAnswer(const ForwardCall &call, connection::http::IHttpConnection &connection,
                     connection::http::Response head, base::TimePoint until, IAnswerSink &sink)
         -> boost::asio::awaitable<Attempt>;
+    //! Finds the software version that must go on with the stream. Empty if it can go on, else the
+    //! reason why not.
+    auto prepareResumption(ForwardCall &call) -> boost::asio::awaitable<std::string>;
+    auto isLeft(const std::string &service, const std::string &software) const -> bool;
+    auto mustRecordOrigin(const ForwardCall &call, const process::servers::Server &server,
+                          const Progress &progress) const -> bool;
+    auto maySend(const ForwardCall &call, const process::servers::Server &server,
+                 const Progress &progress) const -> bool;
+    auto softwareOf(const process::servers::Server &server) const -> std::string;
     auto attemptDeadline(const ForwardCall &call, const Progress &progress) const
         -> base::TimePoint;
     auto coldStartRule(const std::string &service) const -> process::health::ColdRule;
--- a/src/version/routing/routingtable.h
+++ b/src/version/routing/routingtable.h
@@ -47,6 +47,7 @@
     std::uint32_t maxAttempts = 1;
     std::uint32_t priority = 5;
     bool open = false;          //!< Callers need no key.
+    bool resumable = false;     //!< Streams: callers may take a broken stream up again.
     bool singleVersion = false; //!< Rollouts: all events of a sample come from one weight version.
     //! Rollouts: how long items are kept after submission.
     base::Duration retention = std::chrono::seconds(40);
--- /dev/null
+++ b/src/version/streamorigin/originlog.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+#include "base/timepoint.h"
+#include "version/streamorigin/streamorigin.h"
+
+namespace nutmegplank::version::streamorigin {
+
+//! How much of the log has been read when an origin is looked up.
+enum class LogView {
+    Complete, //!< Everything that was in the log when the stream was taken up.
+    Stale,
+};
+
+//! The origins and baselines that this machine has read. Not thread-safe.
+class OriginLog
+{
+public:
+    //! A record was read, or was written by this machine. The last one of a request counts.
+    auto apply(const StreamOrigin &origin, base::TimePoint now) -> void;
+    auto setBaseline(const std::string &service, const Baseline &baseline) -> void;
+    //! The baselines were read completely.
+    auto noteBaselinesRead(base::TimePoint now) -> void { m_baselinesReadAt = now; }
+    auto baselines() const -> const BaselinesByService & { return m_baselines; }
+
+    //! Whether a stream that begins at \a software must be recorded.
+    auto mustRecord(const std::string &service, const std::string &software,
+                    base::TimePoint now) const -> bool;
+    //! Software version that began the stream of the request; nothing if that is not known.
+    //! \a onlyBaseline: no server of another version has been seen for as long as callers take
+    //! streams up. \a requestId is empty if the caller did not name it.
+    auto find(const std::string &service, const std::string &requestId, LogView view,
+              bool onlyBaseline) const -> std::optional<std::string>;
+
+    //! Forgets origins that callers do not ask for any more.
+    auto expire(base::TimePoint now) -> void;
+    auto size() const -> std::size_t { return m_origins.size(); }
+
+private:
+    struct Entry
+    {
+        StreamOrigin origin;
+        base::TimePoint readAt {};
+    };
+
+    std::unordered_map<std::string, Entry> m_origins;                //!< By request id.
+    std::deque<std::pair<base::TimePoint, std::string>> m_readOrder; //!< Oldest first.
+    BaselinesByService m_baselines;
+    base::TimePoint m_baselinesReadAt {};
+};
+
+} // namespace nutmegplank::version::streamorigin
--- /dev/null
+++ b/src/version/streamorigin/tests/streamorigin_tests.cpp
@@ -0,0 +1,172 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "version/streamorigin/baselineplanner.h"
+#include "version/streamorigin/origincodec.h"
+#include "version/streamorigin/originlog.h"
+
+using namespace nutmegplank;
+using namespace nutmegplank::version::streamorigin;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto NOW = base::TimePoint(base::Duration(1h));
+constexpr auto SERVICE = "talk";
+
+auto withBaseline(const std::string &software) -> OriginLog
+{
+    auto log = OriginLog();
+    log.setBaseline(SERVICE, { software });
+    log.noteBaselinesRead(NOW);
+    return log;
+}
+
+} // namespace
+
+TEST(OriginLog, OriginLog_StreamAtTheBaseline_NeedsNoRecord)
+{
+    const auto log = withBaseline("1.0");
+    EXPECT_FALSE(log.mustRecord(SERVICE, "1.0", NOW));
+    EXPECT_TRUE(log.mustRecord(SERVICE, "2.0", NOW));
+    EXPECT_TRUE(log.mustRecord(SERVICE, "", NOW));
+    EXPECT_TRUE(OriginLog().mustRecord(SERVICE, "1.0", NOW));
+}
+
+TEST(OriginLog, OriginLog_BaselineThatMayHaveChanged_NeedsARecord)
+{
+    auto log = withBaseline("1.0");
+    EXPECT_TRUE(log.mustRecord(SERVICE, "1.0", NOW + BASELINE_LIFETIME));
+    log.setBaseline(SERVICE, { "1.0", true });
+    EXPECT_TRUE(log.mustRecord(SERVICE, "1.0", NOW));
+    EXPECT_EQ(log.find(SERVICE, "r1", LogView::Complete, false), "1.0");
+}
+
+TEST(OriginLog, OriginLog_StreamWithoutARecord_BeganAtTheBaselineIfTheWholeLogWasRead)
+{
+    const auto log = withBaseline("1.0");
+    EXPECT_EQ(log.find(SERVICE, "r1", LogView::Complete, false), "1.0");
+    EXPECT_EQ(log.find(SERVICE, "r1", LogView::Stale, false), std::nullopt);
+    EXPECT_EQ(log.find(SERVICE, "r1", LogView::Stale, true), "1.0");
+    EXPECT_EQ(OriginLog().find(SERVICE, "r1", LogView::Complete, true), std::nullopt);
+}
+
+TEST(OriginLog, OriginLog_RecordedStream_BeganAtItsLastRecord)
+{
+    auto log = withBaseline("1.0");
+    log.apply({ "r1", SERVICE, "2.0" }, NOW);
+    EXPECT_EQ(log.find(SERVICE, "r1", LogView::Stale, true), "2.0");
+    log.apply({ "r1", SERVICE, "1.0" }, NOW);
+    EXPECT_EQ(log.find(SERVICE, "r1", LogView::Stale, false), "1.0");
+}
+
+TEST(OriginLog, OriginLog_BeginningThatIsNotKnown_IsNotGuessed)
+{
+    auto log = withBaseline("1.0");
+    log.apply({ "r1", SERVICE, "" }, NOW);
+    EXPECT_EQ(log.find(SERVICE, "r1", LogView::Complete, true), std::nullopt);
+    // The caller does not name the attempt that began the stream.
+    EXPECT_EQ(log.find(SERVICE, "", LogView::Complete, false), std::nullopt);
+    EXPECT_EQ(log.find(SERVICE, "", LogView::Complete, true), "1.0");
+}
+
+TEST(OriginLog, OriginLog_OldRecords_AreForgotten)
+{
+    auto log = withBaseline("1.0");
+    log.apply({ "r1", SERVICE, "2.0" }, NOW);
+    log.apply({ "r1", SERVICE, "2.0" }, NOW + 100s);
+    log.expire(NOW + 130s);
+    EXPECT_EQ(log.size(), 1U);
+    log.expire(NOW + 230s);
+    EXPECT_EQ(log.size(), 0U);
+}
+
+TEST(BaselinePlanner, BaselinePlanner_ServiceWithoutABaseline_GetsTheMostCommonVersion)
+{
+    auto planner = BaselinePlanner(NOW);
+    const auto planned =
+        planner.plan({ { SERVICE, { "2.0", "1.0", "1.0", "" } }, { "x", { "" } } }, {}, NOW);
+    EXPECT_EQ(planned, (BaselinesByService { { SERVICE, { "1.0" } } }));
+}
+
+TEST(BaselinePlanner, BaselinePlanner_VersionThatLeft_IsReplacedWhenNoStreamOfItCanBeTakenUp)
+{
+    auto planner = BaselinePlanner(NOW);
+    auto baselines = BaselinesByService { { SERVICE, { "1.0" } } };
+    planner.observe({ { SERVICE, { "1.0", "2.0", "2.0" } } }, baselines, NOW + 100s);
+    const auto newer = VersionsByService { { SERVICE, { "2.0", "2.0" } } };
+    planner.observe(newer, baselines, NOW + 101s);
+    EXPECT_TRUE(planner.plan(newer, baselines, NOW + 105s).empty());
+    EXPECT_EQ(planner.plan(newer, baselines, NOW + 111s).at(SERVICE), (Baseline { "1.0", true }));
+    planner.observe(newer, baselines, NOW + 111s);
+    baselines[SERVICE].closing = true;
+    planner.observe(newer, baselines, NOW + 112s);
+    EXPECT_TRUE(planner.plan(newer, baselines, NOW + 180s).empty());
+    EXPECT_EQ(planner.plan(newer, baselines, NOW + 181s).at(SERVICE), (Baseline { "2.0" }));
+    // A process that has just started does not know how long the baseline has been closed.
+    EXPECT_TRUE(BaselinePlanner(NOW + 181s).plan(newer, baselines, NOW + 182s).empty());
+}
+
+TEST(BaselinePlanner, BaselinePlanner_OtherVersion_IsRememberedWhileItsStreamsAreTakenUp)
+{
+    auto planner = BaselinePlanner(NOW);
+    const auto baselines = BaselinesByService { { SERVICE, { "1.0" } } };
+    EXPECT_FALSE(planner.onlyBaseline(SERVICE, NOW));
+    planner.observe({ { SERVICE, { "1.0", "2.0" } } }, baselines, NOW + 1s);
+    planner.observe({ { SERVICE, { "1.0" } } }, baselines, NOW + 2s);
+    EXPECT_FALSE(planner.onlyBaseline(SERVICE, NOW + 60s));
+    EXPECT_TRUE(planner.onlyBaseline(SERVICE, NOW + 61s));
+}
+
+//! Streams begin and are taken up while versions come, go and come back: no take-up is answered
+//! with a version that did not begin the stream.
+RC_GTEST_PROP(StreamOrigin, StreamOrigin_AnyReleases_NoStreamIsJoined, ())
+{
+    struct Begun
+    {
+        std::string id;
+        std::string software;
+        base::TimePoint at;
+    };
+    const auto versions = std::vector<std::string> { "1.0", "2.0", "3.0" };
+    auto written = std::vector<StreamOrigin>();
+    auto baselines = BaselinesByService();
+    auto planner = BaselinePlanner(NOW);
+    auto machine = OriginLog();
+    auto begun = std::vector<Begun>();
+    auto now = NOW;
+    for (auto step = 0; step < 100; ++step) {
+        now += std::chrono::seconds(*rc::gen::inRange(0, 20));
+        auto servers = std::vector<std::string>();
+        for (auto count = *rc::gen::inRange(1, 4); count > 0; --count)
+            servers.push_back(versions[*rc::gen::inRange<std::size_t>(0, versions.size())]);
+        planner.observe({ { SERVICE, servers } }, baselines, now);
+        for (const auto &[service, baseline] :
+             planner.plan({ { SERVICE, servers } }, baselines, now))
+            baselines[service] = baseline;
+        // The machine is sometimes restarted, and reads the baselines only now and then.
+        if (*rc::gen::inRange(0, 8) == 0)
+            machine = OriginLog();
+        if (*rc::gen::arbitrary<bool>()) {
+            for (const auto &[service, baseline] : baselines)
+                machine.setBaseline(service, baseline);
+            machine.noteBaselinesRead(now);
+        }
+        const auto &software = servers.front();
+        const auto id = std::to_string(step);
+        if (machine.mustRecord(SERVICE, software, now))
+            written.push_back({ id, SERVICE, software });
+        begun.push_back({ id, software, now });
+        auto reader = OriginLog();
+        for (const auto &[service, baseline] : baselines)
+            reader.setBaseline(service, baseline);
+        for (const auto &origin : written)
+            reader.apply(origin, now);
+        for (const auto &stream : begun) {
+            if (now - stream.at >= TAKE_UP_TIME)
+                continue;
+            const auto found = reader.find(SERVICE, stream.id, LogView::Complete, false);
+            RC_ASSERT(!found.has_value() || *found == stream.software);
+        }
+    }
+}
