Delay an item by half a second at most after its server was lost

Trainers waited for items under which servers had crashed: after the fourth loss each further one delayed the item by 4 s, so that nine resets took longer than the 7.5 s in which a batch is due. Cause: the delay was meant for items that crash servers, which items handed in for later never do; the users' pages say that they are still owed. The delay now ends at 0.5 s.

--- a/src/request/rollout/rundecision.cpp
+++ b/src/request/rollout/rundecision.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr auto INITIAL_LOSS_DELAY = std::chrono::milliseconds(20);
-constexpr auto MAX_LOSS_DELAY = std::chrono::seconds(4);
-//! Limits the shift; the delay reaches MAX_LOSS_DELAY one step earlier.
+//! Short beside the time in which the results of a batch are due.
+constexpr auto MAX_LOSS_DELAY = std::chrono::milliseconds(500);
+//! Limits the shift; the delay reaches MAX_LOSS_DELAY before.
 constexpr auto MAX_LOSS_EXPONENT = 5U;
 //! About the time until a slot of a full engine becomes free.
 constexpr auto REFUSED_DELAY = std::chrono::milliseconds(40);
--- a/src/request/rollout/rundecision.h
+++ b/src/request/rollout/rundecision.h
@@ -31,8 +31,8 @@
 
 //! Decides whether an item is finished or run again. Only engine failures count towards
 //! \a maxAttempts: an item is given up only if an engine that ran it reports the failure. Lost
-//! connections are retried without limit, with a delay that grows fourfold each time so that an
-//! item which crashes its engines does not reach all of them at once. Counts this run in
+//! connections are retried without limit, with a delay that grows fourfold up to half a second,
+//! while engines come back: an item under which engines crashed is still owed. Counts this run in
 //! \a failureCounts.
 auto decideNextStep(RunEnd end, std::uint32_t maxAttempts, FailureCounts &failureCounts)
     -> RunDecision;
