End runs of items at servers that are another process by now

An item that had been at servers without power several times stayed at the next one for up to 21 s, also after that server had registered again under its id: each silent run doubles the time for the next, which is meant for servers that are slow but sound. A server with a new start time cannot have the run, so the run ends when its record says so; one that is not registered any more gets the plain time limit.

--- a/src/request/rollout/openbatch.h
+++ b/src/request/rollout/openbatch.h
@@ -31,6 +31,7 @@
     const version::routing::Route *route = nullptr; //!< Null if the configuration has none.
     std::uint32_t tokensPerEvent = 1;               //!< Of the engines of its route.
     std::string engine;                             //!< Runs the item, or ran it last.
+    std::int64_t engineIncarnation = 0;             //!< Of the process that runs it.
     std::string avoidedEngine;                      //!< The next run prefers any other engine.
     FailureCounts failureCounts;
     std::uint32_t silentRuns = 0;    //!< Runs that were ended because the engine sent no events.
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -283,6 +283,7 @@
         m_loadTracker.limitObserver(engine.id, m_dependencies.now()));
     item.state = ItemState::Running;
     item.engine = engine.id;
+    item.engineIncarnation = server->record.incarnation;
     item.sampledEvents = 0;
     logPlacement(key, engine, *server);
     m_loadTracker.noteStart(engine.id, m_dependencies.now());
--- a/src/request/rollout/runmonitor.cpp
+++ b/src/request/rollout/runmonitor.cpp
@@ -19,6 +19,9 @@
 {
     const auto shortest = run.loading ? LOADING_SILENCE_TIMEOUT : MIN_SILENCE_TIMEOUT;
     const auto timeout = std::max(shortest, run.eventInterval * SILENT_INTERVALS);
+    // An engine that is not registered any more is lost rather than slow.
+    if (!run.registered)
+        return timeout;
     return timeout * (1 << std::min(run.earlierSilences, MAX_DOUBLINGS));
 }
 
@@ -26,6 +29,8 @@
 
 auto checkProgress(const MonitoredRun &run) -> std::optional<RunTermination>
 {
+    if (run.restarted)
+        return RunTermination { RunEnd::Broken, "engine was restarted" };
     if (run.silence > silenceTimeout(run))
         return RunTermination { RunEnd::Broken, "engine sent no events within the silence timeout",
                                 true };
--- a/src/request/rollout/runmonitor.h
+++ b/src/request/rollout/runmonitor.h
@@ -15,9 +15,11 @@
         0
     };                                 //!< Usual time between events of its engine; 0 if not known.
     std::uint32_t earlierSilences = 0; //!< Runs of the item that were ended as silent.
-    bool loading = false; //!< Its engine is loading weights and sends no events meanwhile.
-    bool zoneOut = false; //!< The engine's availability zone is out of service.
-    bool hasRoute = true; //!< The item's route still exists in the configuration.
+    bool registered = true;            //!< Its engine is in the list of servers.
+    bool restarted = false; //!< Its engine is another process by now; this one's runs are gone.
+    bool loading = false;   //!< Its engine is loading weights and sends no events meanwhile.
+    bool zoneOut = false;   //!< The engine's availability zone is out of service.
+    bool hasRoute = true;   //!< The item's route still exists in the configuration.
 };
 
 struct RunTermination
--- a/src/request/rollout/runsupervisor.cpp
+++ b/src/request/rollout/runsupervisor.cpp
@@ -31,6 +31,8 @@
     monitored.eventInterval =
         m_engines.eventInterval(item.engine, m_loadTracker.runningAt(item.engine));
     monitored.earlierSilences = item.silentRuns;
+    monitored.registered = server != nullptr && !server->missingSince.has_value();
+    monitored.restarted = server != nullptr && server->record.incarnation != item.engineIncarnation;
     monitored.loading = m_engines.loading(item.engine);
     monitored.zoneOut = server != nullptr && m_servers.zonesOut().contains(server->record.zone);
     monitored.hasRoute = item.route != nullptr;
--- a/src/request/rollout/tests/runmonitor_tests.cpp
+++ b/src/request/rollout/tests/runmonitor_tests.cpp
@@ -54,6 +54,22 @@
     EXPECT_TRUE(checkProgress(run).has_value());
 }
 
+//! An item that was at engines without power several times waited for up to 21 s at the next one.
+TEST(RunMonitor, RunMonitor_EngineThatIsAnotherProcessOrGone_DoesNotGetMoreTime)
+{
+    auto run = MonitoredRun();
+    run.earlierSilences = 4;
+    run.silence = 1400ms;
+    EXPECT_FALSE(checkProgress(run).has_value());
+    run.registered = false;
+    EXPECT_EQ(checkProgress(run)->end, RunEnd::Broken);
+    run.registered = true;
+    run.restarted = true;
+    run.silence = 0ms;
+    EXPECT_EQ(checkProgress(run)->end, RunEnd::Broken);
+    EXPECT_FALSE(checkProgress(run)->silent);
+}
+
 TEST(RunMonitor, RunMonitor_ZoneOutOrRouteRemoved_CancelsTheRun)
 {
     auto run = MonitoredRun();
