Send a take-up to the service that began its stream

On a route whose traffic is split between services, the id of a request picks the service. A take-up has an id of its own, so that a part of the take-ups went to another service than the one that had begun the stream, and was refused there. Found by reading the route to a server for ORDER. The id of the attempt that began the stream picks the service now.

--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -6,6 +6,7 @@
 #include "base/status.h"
 #include "base/text.h"
 #include "process/logging/logging.h"
+#include "request/forward/servicechoice.h"
 #include "request/serverprotocol/limitobservation.h"
 #include "request/serverprotocol/ownresponse.h"
 
@@ -57,9 +58,8 @@
 
 auto serviceFor(const ForwardCall &call) -> const std::string &
 {
-    constexpr auto BUCKETS = 10000U;
-    const auto bucket = base::hash64(call.requestId) % BUCKETS;
-    return version::routing::pickService(call.route, static_cast<double>(bucket) / BUCKETS);
+    return chooseService(call.route, call.requestId,
+                         call.resumesStream ? call.streamBegunBy : std::string());
 }
 
 } // namespace
