Soak request limits, releases of other software, and streams that are taken up

The soak could not show LIMIT, ORDER and LOST: its servers named no limits and one software version, and it had no callers of streams. Plain servers and engines now name limits that fall and end; engines that leave or crash are replaced by another software version; three callers take broken streams up at any address. promises.py judges the three rules by the numbers of the users' pages, ORDER from the first joined stream on.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,7 +15,7 @@
 import time
 
 from soak import plan, promises
-from soak.callers import OrderCaller, Trainer
+from soak.callers import OrderCaller, TalkCaller, Trainer
 from soak.soakworld import Injector, SoakWorld
 
 REGRESSIONS = pathlib.Path(__file__).parent / "regressions.json"
@@ -26,7 +26,8 @@
 
 
 def play(seed: int, faults: list[plan.Fault], nodes: int) -> dict:
-    world = SoakWorld(nodes=nodes, engines=3, plains=2, peers_check_fences=plan.peers_check_fences(seed))
+    world = SoakWorld(nodes=nodes, engines=4, plains=2, several_versions=plan.several_versions(seed),
+                      peers_check_fences=plan.peers_check_fences(seed))
     for engine in world.engines:
         engine.events, engine.pace = Trainer.EVENTS, 0.06
     for server in world.plains:
@@ -34,24 +35,26 @@
     orders = [OrderCaller(world, f"safe{number}", seed, "/orders/") for number in range(3)]
     orders += [OrderCaller(world, f"once{number}", seed, "/once/") for number in range(3)]
     trainers = [Trainer(world, "trainer", seed)]
+    talks = [TalkCaller(world, f"talk{number}", seed) for number in range(3)]
     try:
-        for caller in orders + trainers:
+        for caller in orders + trainers + talks:
             caller.start()
         time.sleep(QUIET_BEFORE)
         Injector(world, faults).play()
         time.sleep(QUIET_AFTER)
         found = promises.check_recovery(world)
-        for caller in orders + trainers:
+        for caller in orders + trainers + talks:
             caller.stopping.set()
-        for caller in orders + trainers:
+        for caller in orders + trainers + talks:
             caller.join(20)
         for trainer in trainers:
             found += promises.check_open_batches(world, trainer)
             found += promises.check_results(world, trainer)
         for caller in orders:
             found += promises.check_orders(world, caller, plan.planned_only(seed))
-        found += promises.check_runs(world, orders, trainers) + promises.check_duties(world)
-        found += [violation for caller in orders + trainers for violation in caller.violations]
+        found += promises.check_runs(world, orders + talks, trainers) + promises.check_duties(world)
+        found += promises.check_limits(world, orders + talks) + promises.check_talks(world, talks)
+        found += [violation for caller in orders + trainers + talks for violation in caller.violations]
         found += world.problems
         found += [f"ENDED: {node.name} ended by itself with {node.popen.returncode}"
                   for node in world.nodes if not node.running()]
@@ -59,6 +62,8 @@
         world.close()
     return {"seed": seed, "violations": found, "folder": str(world.folder),
             "orders": sum(caller.served for caller in orders), "steps": sum(trainer.served for trainer in trainers),
+            "streams": sum(caller.served for caller in talks),
+            "take_ups": sum(len(talk.take_ups) for caller in talks for talk in caller.talks),
             "faults": [f"{fault.at}+{fault.seconds} {fault.kind} {fault.variant}".strip() for fault in faults]}
 
 
@@ -111,7 +116,8 @@
             violations = outcome["violations"]
             failed += bool(violations)
             print(f"{name}: {'FAILED' if violations else 'kept'}"
-                  f" ({outcome.get('orders')} orders, {outcome.get('steps')} steps)", flush=True)
+                  f" ({outcome.get('orders')} orders, {outcome.get('steps')} steps,"
+                  f" {outcome.get('streams')} streams, {outcome.get('take_ups')} taken up)", flush=True)
             if not violations:
                 shutil.rmtree(outcome["folder"], ignore_errors=True)
                 continue
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import http.client
 import json
 import random
 import threading
 import time
 
+from platformworld.texts import parse_event
 from platformworld.world import HOST, KEY, MODEL
 from soak.soakworld import SoakWorld
 
@@ -118,6 +120,7 @@
         super().__init__(world, name, seed)
         self.path = path
         self.sent: set[str] = set()
+        self.sent_to: dict[str, str] = {}  #: Address by request.
         self.not_run: set[str] = set()
         self.cut: dict[str, Cut] = {}
         self.number = 0
@@ -133,6 +136,8 @@
         except Cut as cut:
             self.cut[request] = cut
             return
+        finally:
+            self.sent_to[request] = self.line.address
         if status == 200:
             self.served += 1
             if answer != b"done:" + body or headers.get("X-Request-Id") != request:
@@ -270,3 +275,65 @@
                 self.check_missing(batch, f"its end ({status})")
             self.line.close()
             time.sleep(0.2)
+
+
+@dataclasses.dataclass
+class Talk:
+    """A stream of a caller over all its tries."""
+
+    events: list[str] = dataclasses.field(default_factory=list)
+    first_request: str = ""
+    #: Of each further try: when it began, and whether it brought an event.
+    take_ups: list[tuple[float, str, bool]] = dataclasses.field(default_factory=list)
+
+
+class TalkCaller(Caller):
+    """Streams one after the other; one that breaks off is taken up again at any address, up to four times."""
+
+    TRIES = 5
+
+    def __init__(self, world: SoakWorld, name: str, seed: int) -> None:
+        super().__init__(world, name, seed)
+        self.sent: set[str] = set()
+        self.sent_to: dict[str, str] = {}
+        self.talks: list[Talk] = []
+        self.asked = 0  #: Streams that were asked for at all.
+
+    def turn(self) -> None:
+        talk = Talk()
+        self.asked += 1
+        for number in range(self.TRIES):
+            if self.stopping.is_set() or self.try_once(talk, number):
+                break
+            self.line.close()
+            time.sleep(self.dice.uniform(0.05, 0.3))
+        if talk.events:
+            self.talks.append(talk)
+        self.served += len(talk.events) == Trainer.EVENTS
+        time.sleep(self.dice.uniform(0.01, 0.1))
+
+    def try_once(self, talk: Talk, number: int) -> bool:
+        """Whether the stream is complete, or can't be."""
+        request = f"{self.name}-{self.asked}-{number}"
+        headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "X-Request-Id": request, "X-Deadline-Ms": "8000"}
+        known = len(talk.events)
+        if known:
+            headers |= {"Last-Event-Id": str(known), "Resumes": talk.first_request}
+        began = time.monotonic()
+        self.sent.add(request)
+        try:
+            self.line.open()
+            self.sent_to[request] = self.line.address
+            self.line.connection.request("POST", "/talks/1", f"prompt {self.name}-{self.asked}".encode(), headers)
+            response = self.line.connection.getresponse()
+            while response.status == 200 and (line := response.readline().decode()):
+                if line.startswith("data: "):
+                    if not talk.events:
+                        talk.first_request = request
+                    talk.events.append(line.removeprefix("data: ").strip())
+            response.read()
+        except (Cut, OSError, http.client.HTTPException):
+            self.line.close()
+        if known:
+            talk.take_ups.append((began, parse_event(talk.events[0]).software, len(talk.events) > known))
+        return len(talk.events) >= Trainer.EVENTS
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -9,18 +9,20 @@
 LINK_MODES = ("cut", "freeze_open", "freeze_all", "drop_to_target", "drop_to_caller", "lose_answers", "delay")
 STORE_MODES = ("busy", "silent", "reset")
 #: Work that operators announce; it must cut nothing.
-PLANNED = ("terminate", "reload", "configure", "drain", "revoke")
+PLANNED = ("terminate", "reload", "configure", "drain", "revoke", "release")
 #: Faults with their weight in the draw.
 UNPLANNED = {"kill": 3, "herd": 1, "pause": 3, "store_link": 3, "server_link": 4, "front_link": 2, "store_down": 2,
              "store_part": 2,
              "store_slow": 1, "store_lost": 2, "store_late": 1, "store_forgets": 1, "server_crash": 4,
-             "server_slow": 1, "server_fail": 1, "clock": 1}
+             "server_slow": 1, "server_fail": 1, "clock": 1, "limit": 4, "replace": 1}
 #: Every so many seeds have planned work only, so that what it cuts is seen.
 PLANNED_ONLY_EVERY = 4
 #: How many faults are met by another one on the same machine or server.
 COMPANION_SHARE = 0.4
 #: Every so many seeds the platform and the engines check no fencing numbers.
 UNCHECKED_EVERY = 2
+#: Every so many seeds two software versions serve from the beginning.
+SEVERAL_VERSIONS_EVERY = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +47,10 @@
     return seed % UNCHECKED_EVERY == 0
 
 
+def several_versions(seed: int) -> bool:
+    return seed % SEVERAL_VERSIONS_EVERY == 0
+
+
 def draw(seed: int, seconds: float) -> list[Fault]:
     """The same faults for the same seed and length. Some meet a second one on the same machine or server, since much
     goes wrong only during a recovery."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -8,12 +8,17 @@
 from platformworld.calls import check_unchecked_calls
 from platformworld.texts import parse_event, software_of
 from platformworld.world import World, eventually
-from soak.callers import LOST_SECONDS, OrderCaller, Trainer
+from soak.callers import LOST_SECONDS, OrderCaller, TalkCaller, Trainer
 from soak.soakworld import SoakWorld
 
 #: Service must be back this long after the last fault, in seconds; from the users' pages.
 RECOVER_SECONDS = 12
 MOST_FAILURES = 3
+#: LOST counts from so many streams that are taken up, and asks for this part of the share of new streams that begin.
+LEAST_TAKE_UPS = 12
+TAKE_UP_PART = 0.5
+#: Only take-ups are counted for which so many servers of their software version serve.
+SERVERS_OF_VERSION = 2
 
 
 def check_orders(world: SoakWorld, caller: OrderCaller, planned_only: bool) -> list[str]:
@@ -67,7 +72,7 @@
     return []
 
 
-def check_runs(world: SoakWorld, orders: list[OrderCaller], trainers: list[Trainer]) -> list[str]:
+def check_runs(world: SoakWorld, orders: list[OrderCaller | TalkCaller], trainers: list[Trainer]) -> list[str]:
     """Nothing runs that nobody asked for, nothing for another workspace, no key reaches a server."""
     found = []
     asked = set().union(*(caller.sent for caller in orders), *(trainer.submitted_items for trainer in trainers))
@@ -83,6 +88,37 @@
     return found
 
 
+def check_limits(world: SoakWorld, callers: list[OrderCaller | TalkCaller]) -> list[str]:
+    """LIMIT, over the machines that were in touch when they sent. Items are sent by a machine that is not known here."""
+    machines = {request: address.split(":")[0] for caller in callers for request, address in caller.sent_to.items()}
+    names = {node.ip: node.name for node in world.nodes}
+
+    def counts(at: float, request: str) -> bool:
+        return world.in_touch(at, names.get(machines.get(request, "")))
+    return [line for server in world.plains + world.engines for line in server.limits.violations(server.label, counts)]
+
+
+def check_talks(world: SoakWorld, callers: list[TalkCaller]) -> list[str]:
+    """ORDER and LOST of streams, over all their tries."""
+    found = []
+    talks = [talk for caller in callers for talk in caller.talks]
+    for talk in talks:
+        events = [parse_event(line) for line in talk.events]
+        if [event.number for event in events] != list(range(1, len(events) + 1)):
+            found.append(f"ORDER: the stream begun as {talk.first_request} is {talk.events}")
+        if len(software_of(talk.events)) > 1:
+            found.append(f"ORDER: the stream begun as {talk.first_request} is joined from software versions"
+                         f" {sorted(software_of(talk.events))}")
+    asked = sum(caller.asked for caller in callers)
+    counted = [went_on for talk in talks for at, software, went_on in talk.take_ups
+               if world.in_touch(at, None) and world.servers_of(software, at) >= SERVERS_OF_VERSION]
+    share = sum(counted) / len(counted) if counted else 1.0
+    if len(counted) >= LEAST_TAKE_UPS and share < TAKE_UP_PART * len(talks) / asked:
+        found.append(f"LOST: {sum(counted)} of {len(counted)} streams that were taken up went on; {len(talks)} of"
+                     f" {asked} new ones began")
+    return found
+
+
 def check_duties(world: SoakWorld) -> list[str]:
     found = []
     figures: dict[int, dict] = {}
--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -16,17 +16,31 @@
 #: How long a stopped process may take; then the platform ends it.
 GRACE_SECONDS = 8
 LEAVE_AFTER_DRAIN = 2.6
+#: A machine is excused for this long after the end of a disturbance, in seconds; from the users' pages.
+CONTACT_SECONDS = 3.0
+SOFTWARE_VERSIONS = ("1.0", "2.0")
+#: Long enough for a whole window in which a limit is judged.
+LIMITED_SECONDS = 8.0
 CLOCK_SHIFT_MS = 4000
 
 
+def other_software(software: str) -> str:
+    return next(version for version in SOFTWARE_VERSIONS if version != software)
+
+
 class SoakWorld(World):
     RETENTION_SECONDS = 120
 
-    def __init__(self, nodes: int, engines: int, plains: int, **options) -> None:
+    def __init__(self, nodes: int, engines: int, plains: int, several_versions: bool = False, **options) -> None:
+        self.several_versions = several_versions
         self.problems: list[str] = []
         self.clock_files: dict[str, str] = {}
         self.intended_stops: set[str] = set()
         self.withdrawn_keys: list[tuple[float, str]] = []
+        #: Times (from, to) at which a machine was restarted, frozen or cut off, and a while after; None: all machines.
+        #: When the software versions in service changed, and to what.
+        self.versions: list[tuple[float, list[str]]] = []
+        self.disturbed: list[tuple[float, float, str | None]] = []
         super().__init__(nodes, engines, plains, **options)
 
     def before_start(self) -> None:
@@ -34,10 +48,13 @@
                    "target": self.store_server.endpoint} for node in self.nodes]
         routes += [{"name": f"front.{node.name}", "listen": self.front(node),
                     "target": f"{node.ip}:{node.ports['front']}"} for node in self.nodes]
+        for engine in self.engines[len(self.engines) // 2:] if self.several_versions else []:
+            engine.software = SOFTWARE_VERSIONS[1]
+        self.note_versions()
         for index, server in enumerate(self.engines + self.plains):
             server.address = f"127.1.{self.net}.201:{19000 + index}"
             server.announce()
-            routes.append({"name": f"server.{server.name}", "listen": server.address,
+            routes.append({"name": f"server.{server.label}", "listen": server.address,
                            "target": server.server.endpoint})
         self.proxy = Process("standin-faultproxy", "faultproxy",
                              {"address": f"127.1.{self.net}.203", "port": 19000, "routes": routes}, self.folder)
@@ -57,6 +74,26 @@
     def environment(self, node: Node) -> dict[str, str]:
         return {"LD_PRELOAD": str(BIN / "libclockshift.so"), "CLOCKSHIFT_FILE": self.clock_files[node.name]}
 
+    def note_versions(self) -> None:
+        """Which software versions serve from now on; called when an engine comes, leaves or is lost."""
+        versions = [engine.software for engine in self.engines if engine.state == "ready" and engine.up]
+        self.versions.append((time.monotonic(), versions))
+
+    def servers_of(self, software: str, at: float) -> int:
+        """The fewest engines of a version that served within the last seconds before `at`."""
+        counts = [versions.count(software) for since, versions in self.versions
+                  if at - CONTACT_SECONDS <= since <= at]
+        before = [versions.count(software) for since, versions in self.versions if since <= at - CONTACT_SECONDS]
+        return min(counts + before[-1:], default=0)
+
+    def disturb(self, since: float, machine: str | None) -> None:
+        self.disturbed.append((since, time.monotonic() + CONTACT_SECONDS, machine))
+
+    def in_touch(self, at: float, machine: str | None) -> bool:
+        """Whether `machine`, or every machine if it is not known which one, was undisturbed."""
+        return not any(since <= at < until and (name is None or machine is None or name == machine)
+                       for since, until, name in self.disturbed)
+
     def link(self, route: str, mode: str = "pass", **fields) -> None:
         connection = http.client.HTTPConnection(f"127.1.{self.net}.203", 19000, timeout=5)
         connection.request("POST", "/control", json.dumps({"name": route, "mode": mode, **fields}))
@@ -77,7 +114,8 @@
         self.threads: list[threading.Thread] = []
         servers = world.engines + world.plains
         #: One fault at a time starts or stops a machine or a server; others on it wait their turn.
-        self.locks = {thing.name: threading.RLock() for thing in world.nodes + servers}
+        self.locks = {thing.name: threading.RLock() for thing in world.nodes}
+        self.locks |= {server.label: threading.RLock() for server in servers}
 
     def play(self) -> None:
         """Returns when all faults are mended."""
@@ -115,6 +153,7 @@
         self.kill_and_start(nodes[:count], fault.seconds / 2)
 
     def kill_and_start(self, nodes: list[Node], seconds: float) -> None:
+        since = time.monotonic()
         for node in nodes:
             self.locks[node.name].acquire()
             self.world.intended_stops.add(node.name)
@@ -122,21 +161,25 @@
         time.sleep(seconds)
         for node in nodes:
             node.start()
+            self.world.disturb(since, node.name)
             self.world.intended_stops.discard(node.name)
             self.locks[node.name].release()
 
     def pause(self, fault: Fault) -> None:
         node = self.node(fault)
         with self.locks[node.name]:
+            since = time.monotonic()
             node.signal(signal.SIGSTOP)
             time.sleep(fault.seconds)
             node.signal(signal.SIGCONT)
+            self.world.disturb(since, node.name)
 
     def terminate(self, fault: Fault) -> None:
         node = self.node(fault)
         with self.locks[node.name]:
             self.wait_started(node)
             self.world.intended_stops.add(node.name)
+            since = time.monotonic()
             node.signal(signal.SIGTERM)
             try:
                 status = node.popen.wait(GRACE_SECONDS)
@@ -146,6 +189,7 @@
                 self.world.problems.append(f"{node.name} still ran {GRACE_SECONDS} s after SIGTERM")
                 node.kill()
             node.start()
+            self.world.disturb(since, node.name)
             self.world.intended_stops.discard(node.name)
 
     def reload(self, fault: Fault) -> None:
@@ -168,7 +212,8 @@
 
     # Links.
 
-    def break_link(self, route: str, fault: Fault) -> None:
+    def break_link(self, route: str, fault: Fault, machine: str | None) -> None:
+        since = time.monotonic()
         if fault.variant == "delay":
             self.world.link(route, "pass", delay_ms=int(20 + 300 * fault.strength))
         elif fault.variant == "lose_answers":
@@ -177,15 +222,16 @@
             self.world.link(route, fault.variant)
         time.sleep(fault.seconds)
         self.world.link(route)
+        self.world.disturb(since, machine)
 
     def store_link(self, fault: Fault) -> None:
-        self.break_link(f"store.{self.node(fault).name}", fault)
+        self.break_link(f"store.{self.node(fault).name}", fault, self.node(fault).name)
 
     def front_link(self, fault: Fault) -> None:
-        self.break_link(f"front.{self.node(fault).name}", fault)
+        self.break_link(f"front.{self.node(fault).name}", fault, self.node(fault).name)
 
     def server_link(self, fault: Fault) -> None:
-        self.break_link(f"server.{self.server(fault).name}", fault)
+        self.break_link(f"server.{self.server(fault).label}", fault, None)
 
     # The store.
 
@@ -226,23 +272,62 @@
 
     def server_crash(self, fault: Fault) -> None:
         server = self.server(fault)
-        with self.locks[server.name]:
+        with self.locks[server.label]:
             server.stop()
+            self.world.note_versions()
             time.sleep(fault.seconds / 2)
             server.leave()
             time.sleep(fault.seconds / 2)
             server.restart()
+            self.world.note_versions()
 
     def drain(self, fault: Fault) -> None:
         server = self.server(fault)
-        with self.locks[server.name]:
+        with self.locks[server.label]:
             server.state = "draining"
             server.announce()
+            self.world.note_versions()
             time.sleep(LEAVE_AFTER_DRAIN)
             server.leave()
             time.sleep(fault.seconds)
             server.state = "ready"
             server.announce()
+            self.world.note_versions()
+
+    def limit(self, fault: Fault) -> None:
+        """A server names a limit, a lower one after a while, and none in the end."""
+        server = self.server(fault)
+        with self.locks[server.label]:
+            first = round(2 + 18 * fault.strength, 1)
+            for per_second in (first, round(first / 3, 1)):
+                server.limit_to(per_second)
+                time.sleep(LIMITED_SECONDS)
+            server.limit_to(None)
+
+    def release(self, fault: Fault) -> None:
+        """An engine leaves as planned, and one of the other software version takes its place under another id."""
+        engine = self.world.engines[fault.target % len(self.world.engines)]
+        with self.locks[engine.label]:
+            engine.drain()
+            self.world.note_versions()
+            time.sleep(LEAVE_AFTER_DRAIN)
+            engine.leave()
+            engine.stop()
+            self.world.note_versions()
+            time.sleep(fault.seconds)
+            engine.become(f"{engine.label}-{time.monotonic_ns()}", other_software(engine.software))
+            self.world.note_versions()
+
+    def replace(self, fault: Fault) -> None:
+        """An engine crashes, and another process with the other software version takes its place."""
+        engine = self.world.engines[fault.target % len(self.world.engines)]
+        with self.locks[engine.label]:
+            engine.stop()
+            self.world.note_versions()
+            time.sleep(fault.seconds)
+            engine.leave()
+            engine.become(f"{engine.label}-{time.monotonic_ns()}", other_software(engine.software))
+            self.world.note_versions()
 
     def server_slow(self, fault: Fault) -> None:
         engine = self.world.engines[fault.target % len(self.world.engines)]
