Divide a limit among all machines from its first response on

A machine that was the first to read a limit knew no other machine for up to 0.1 s, since the list was kept only while limits were known, and gave itself the whole limit. The list is now kept at all times, once a second while no server is limited. Limits travel as doubles: 1.6 came back as 1.600000024 and looked like a change, in the log as well.

--- a/src/process/members/limitreportcodec.cpp
+++ b/src/process/members/limitreportcodec.cpp
@@ -10,12 +10,12 @@
 {
     auto encoded = record::ServerLimitReport();
     encoded.set_server(report.server);
-    encoded.set_demand(static_cast<float>(report.demand));
+    encoded.set_demand(report.demand);
     if (!report.observation.has_value())
         return encoded;
     encoded.set_observed(true);
     encoded.set_limited(report.observation->perSecond.has_value());
-    encoded.set_per_second(static_cast<float>(report.observation->perSecond.value_or(0)));
+    encoded.set_per_second(report.observation->perSecond.value_or(0));
     encoded.set_age_ms(
         static_cast<std::uint32_t>(base::toMilliseconds(now - report.observation->at)));
     return encoded;
@@ -25,13 +25,13 @@
     -> requestlimits::LimitReport
 {
     auto report = requestlimits::LimitReport { encoded.server() };
-    report.demand = std::isfinite(encoded.demand()) ? std::max(0.0F, encoded.demand()) : 0.0F;
+    report.demand = std::isfinite(encoded.demand()) ? std::max(0.0, encoded.demand()) : 0.0;
     if (!encoded.observed())
         return report;
     auto &observation = report.observation.emplace();
     observation.at = madeAt - std::chrono::milliseconds(encoded.age_ms());
     if (encoded.limited() && std::isfinite(encoded.per_second()))
-        observation.perSecond = std::max(0.0F, encoded.per_second());
+        observation.perSecond = std::max(0.0, encoded.per_second());
     return report;
 }
 
--- a/src/process/members/tests/limitreportcodec_tests.cpp
+++ b/src/process/members/tests/limitreportcodec_tests.cpp
@@ -18,13 +18,13 @@
 {
     auto report = process::requestlimits::LimitReport { 17 };
     report.demand = 2.5;
-    report.observation = { { 4.5, NOW - 300ms } };
+    report.observation = { { 4.7, NOW - 300ms } };
     const auto encoded = encodeLimitReport(report, NOW);
     const auto read = decodeLimitReport(encoded, NOW);
     EXPECT_EQ(read.server, 17U);
     EXPECT_EQ(read.demand, 2.5);
     ASSERT_TRUE(read.observation.has_value());
-    EXPECT_EQ(read.observation->perSecond, 4.5);
+    EXPECT_EQ(read.observation->perSecond, 4.7);
     EXPECT_EQ(read.observation->at, NOW - 300ms);
 }
 
@@ -40,10 +40,10 @@
 TEST(LimitReportCodec, LimitReportCodec_FiguresThatAreNoNumbers_CountAsNone)
 {
     auto encoded = record::ServerLimitReport();
-    encoded.set_demand(std::numeric_limits<float>::quiet_NaN());
+    encoded.set_demand(std::numeric_limits<double>::quiet_NaN());
     encoded.set_observed(true);
     encoded.set_limited(true);
-    encoded.set_per_second(std::numeric_limits<float>::infinity());
+    encoded.set_per_second(std::numeric_limits<double>::infinity());
     const auto read = decodeLimitReport(encoded, NOW);
     EXPECT_EQ(read.demand, 0);
     EXPECT_FALSE(read.observation->perSecond.has_value());
--- a/src/process/requestlimits/requestlimits.cpp
+++ b/src/process/requestlimits/requestlimits.cpp
@@ -26,6 +26,8 @@
 constexpr auto ACTIVE_TIME = std::chrono::seconds(10);
 //! Shares follow what others tell within this time.
 constexpr auto UPDATE_INTERVAL = std::chrono::milliseconds(200);
+//! While no server is limited, so that the number of machines is known when one is.
+constexpr auto IDLE_UPDATE_INTERVAL = std::chrono::milliseconds(1000);
 //! Accuracy with which the times of observations at different machines can be compared.
 constexpr auto CLOCK_ACCURACY = std::chrono::milliseconds(300);
 //! The others are told that a limit has ended for this time, several heartbeats.
@@ -248,7 +250,9 @@
 
 auto RequestLimits::needsUpdate(base::TimePoint now) const -> bool
 {
-    return !m_entries.empty() && now - m_updatedAt >= UPDATE_INTERVAL;
+    const auto interval =
+        m_entries.empty() ? base::Duration(IDLE_UPDATE_INTERVAL) : base::Duration(UPDATE_INTERVAL);
+    return now - m_updatedAt >= interval;
 }
 
 auto RequestLimits::update(std::vector<std::string> machines, base::TimePoint now) -> void
--- a/src/process/requestlimits/tests/requestlimits_tests.cpp
+++ b/src/process/requestlimits/tests/requestlimits_tests.cpp
@@ -153,6 +153,16 @@
     EXPECT_LE(sent, 103U);
 }
 
+TEST(RequestLimits, RequestLimits_FirstLimitNamed_IsDividedByTheMachinesAtOnce)
+{
+    auto limits = RequestLimits();
+    limits.setMachine("a");
+    ASSERT_TRUE(limits.needsUpdate(NOW));
+    limits.update({ "a", "b", "c", "d" }, NOW);
+    limits.noteResponse(SERVER, 8.0, NOW, NOW);
+    EXPECT_EQ(limits.untilNextStart(SERVER, NOW), 500ms);
+}
+
 TEST(RequestLimits, RequestLimits_ResponseToAnOlderRequest_DoesNotEndTheLimit)
 {
     auto limits = RequestLimits();
