Let streams begin at the baseline over an outage of the log

A machine that had not read the baselines for 10 s recorded every stream, and nothing can be recorded while the log is away: after 10 s of an outage no stream could begin anywhere, although one software version served. Found by reading the path of a new stream for the case that the store is away. The lifetime of what was read is 120 s now, and a baseline stays closed for that much longer before it is replaced, so that the argument holds as before; the property test of releases and late readers passes with the new times. OriginLog_LogAwayForAMinute_... fails on the code before.

--- a/src/version/streamorigin/streamorigin.h
+++ b/src/version/streamorigin/streamorigin.h
@@ -34,7 +34,8 @@
 
 //! Longest time over which callers take a stream up again, over all their tries.
 constexpr auto TAKE_UP_TIME = base::Duration(std::chrono::seconds(60));
-//! A machine that has not read the baselines for this time records every stream.
-constexpr auto BASELINE_LIFETIME = base::Duration(std::chrono::seconds(10));
+//! A machine that has not read the baselines for this time records every stream. Longer than
+//! outages of the log, during which nothing can be recorded.
+constexpr auto BASELINE_LIFETIME = base::Duration(std::chrono::seconds(120));
 
 } // namespace nutmegplank::version::streamorigin
--- a/src/version/streamorigin/tests/streamorigin_tests.cpp
+++ b/src/version/streamorigin/tests/streamorigin_tests.cpp
@@ -33,6 +33,12 @@
     EXPECT_TRUE(OriginLog().mustRecord(SERVICE, "1.0", NOW));
 }
 
+//! With a short lifetime no stream could begin while the log was away for a while.
+TEST(OriginLog, OriginLog_LogAwayForAMinute_StreamsStillBeginAtTheBaseline)
+{
+    EXPECT_FALSE(withBaseline("1.0").mustRecord(SERVICE, "1.0", NOW + 60s));
+}
+
 TEST(OriginLog, OriginLog_BaselineThatMayHaveChanged_NeedsARecord)
 {
     auto log = withBaseline("1.0");
@@ -101,10 +107,11 @@
     planner.observe(newer, baselines, NOW + 111s);
     baselines[SERVICE].closing = true;
     planner.observe(newer, baselines, NOW + 112s);
-    EXPECT_TRUE(planner.plan(newer, baselines, NOW + 180s).empty());
-    EXPECT_EQ(planner.plan(newer, baselines, NOW + 181s).at(SERVICE), (Baseline { "2.0" }));
+    const auto replacedAt = NOW + 111s + TAKE_UP_TIME + BASELINE_LIFETIME;
+    EXPECT_TRUE(planner.plan(newer, baselines, replacedAt - 1s).empty());
+    EXPECT_EQ(planner.plan(newer, baselines, replacedAt).at(SERVICE), (Baseline { "2.0" }));
     // A process that has just started does not know how long the baseline has been closed.
-    EXPECT_TRUE(BaselinePlanner(NOW + 181s).plan(newer, baselines, NOW + 182s).empty());
+    EXPECT_TRUE(BaselinePlanner(replacedAt).plan(newer, baselines, replacedAt + 1s).empty());
 }
 
 TEST(BaselinePlanner, BaselinePlanner_OtherVersion_IsRememberedWhileItsStreamsAreTakenUp)
@@ -136,7 +143,7 @@
     auto begun = std::vector<Begun>();
     auto now = NOW;
     for (auto step = 0; step < 100; ++step) {
-        now += std::chrono::seconds(*rc::gen::inRange(0, 20));
+        now += std::chrono::seconds(*rc::gen::inRange(0, 40));
         auto servers = std::vector<std::string>();
         for (auto count = *rc::gen::inRange(1, 4); count > 0; --count)
             servers.push_back(versions[*rc::gen::inRange<std::size_t>(0, versions.size())]);
