Tell callers when to come back while the beginning of a stream cannot be looked up

While the log is away a machine cannot look up which software version began a stream. The refusal said that nothing can go on, without Retry-After, though the version may be known a second later; the same holds for streams that cannot be recorded. Both are refused as not run, with the time after which the log is usually back.

--- a/src/app/node/streamorigins.cpp
+++ b/src/app/node/streamorigins.cpp
@@ -175,7 +175,7 @@
 }
 
 auto StreamOrigins::find(std::string service, std::string requestId)
-    -> asio::awaitable<std::optional<std::string>>
+    -> asio::awaitable<request::forward::OriginAnswer>
 {
     auto view = LogView::Stale;
     // A baseline that was set after an origin was read could not tell of streams before.
@@ -191,7 +191,7 @@
                     { "software", software.value_or("") },
                     { "known", software.has_value() },
                     { "log_read", view == LogView::Complete } });
-    co_return software;
+    co_return request::forward::OriginAnswer { software, view == LogView::Stale };
 }
 
 //! Returns whether all origins have been read that were in the log when it was called. Callers
--- a/src/app/node/streamorigins.h
+++ b/src/app/node/streamorigins.h
@@ -34,7 +34,7 @@
     auto record(version::streamorigin::StreamOrigin origin)
         -> boost::asio::awaitable<bool> override;
     auto find(std::string service, std::string requestId)
-        -> boost::asio::awaitable<std::optional<std::string>> override;
+        -> boost::asio::awaitable<request::forward::OriginAnswer> override;
 
 private:
     struct Pending
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -39,6 +39,8 @@
 constexpr auto ANSWER_MARGIN = std::chrono::milliseconds(15);
 //! The smoothed latency moves by the difference to a new sample divided by this.
 constexpr auto LATENCY_SMOOTHING = 5;
+//! When a caller may come back that needs the log: it is back within a second or two.
+constexpr auto LOG_RETRY = std::chrono::milliseconds(1000);
 constexpr auto SERVER_ERROR = 500U;
 
 auto isRetryable(const version::routing::Route &route) -> bool
@@ -115,16 +117,26 @@
     });
 }
 
-auto Forwarder::prepareResumption(ForwardCall &call) -> asio::awaitable<std::string>
+auto Forwarder::prepareResumption(ForwardCall &call)
+    -> asio::awaitable<std::optional<ForwardResult>>
 {
     const auto service = serviceFor(call);
-    const auto begunAt = co_await m_dependencies.streamOrigins.find(service, call.streamBegunBy);
-    if (!begunAt.has_value())
-        co_return "it is not known which software version began the stream";
-    call.software = *begunAt;
-    if (!isLeft(service, call.software))
-        co_return "no server of the software version that began the stream is left";
-    co_return std::string();
+    const auto origin = co_await m_dependencies.streamOrigins.find(service, call.streamBegunBy);
+    auto result = ForwardResult();
+    result.end = ForwardOutcome::CannotResume;
+    if (!origin.software.has_value()) {
+        result.detail = "it is not known which software version began the stream";
+        if (origin.mayBeKnownLater) {
+            result.end = ForwardOutcome::NotRun;
+            result.retryAfter = LOG_RETRY;
+        }
+        co_return result;
+    }
+    call.software = *origin.software;
+    if (isLeft(service, call.software))
+        co_return std::nullopt;
+    result.detail = "no server of the software version that began the stream is left";
+    co_return result;
 }
 
 auto Forwarder::waitForAllowance(const ForwardCall &call) -> base::Duration
@@ -231,11 +243,9 @@
     }
     auto progress = Progress();
     if (isResumable(call.route) && call.resumesStream) {
-        result.detail = co_await prepareResumption(call);
-        if (!result.detail.empty()) {
-            result.end = ForwardOutcome::CannotResume;
-            co_return result;
-        }
+        auto refusal = co_await prepareResumption(call);
+        if (refusal.has_value())
+            co_return std::move(*refusal);
     }
     auto selectionDeadline =
         m_dependencies.now() + call.route.targetLatency / SELECTION_TIMEOUT_DIVISOR;
@@ -270,6 +280,7 @@
             if (!progress.recorded) {
                 result.end = progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::NotRun;
                 result.detail = "the software version of the server cannot be recorded";
+                result.retryAfter = LOG_RETRY;
                 co_return result;
             }
             // The choice is made again, since other requests may have used up what the server
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -63,8 +63,8 @@
     std::string detail;
     std::uint32_t attempts = 0;
     std::string server; //!< Id of the server of the last attempt.
-    //! Only when NotRun: time until the limit of a server lets this machine send to it; 0 if that
-    //! is not the cause.
+    //! Only when NotRun: time until a server's limit lets this machine send to it, or until the log
+    //! may be back; 0 if neither is the cause.
     base::Duration retryAfter { 0 };
 };
 
@@ -179,9 +179,10 @@
     auto readAnswer(const ForwardCall &call, connection::http::IHttpConnection &connection,
                     connection::http::Response head, base::TimePoint until, IAnswerSink &sink)
         -> boost::asio::awaitable<Attempt>;
-    //! Finds the software version that must go on with the stream. Empty if it can go on, else the
-    //! reason why not.
-    auto prepareResumption(ForwardCall &call) -> boost::asio::awaitable<std::string>;
+    //! Finds the software version that must go on with the stream of \a call. Returns nothing if a
+    //! server of it is left, else how the call ends.
+    auto prepareResumption(ForwardCall &call)
+        -> boost::asio::awaitable<std::optional<ForwardResult>>;
     auto isLeft(const std::string &service, const std::string &software) const -> bool;
     auto mustRecordOrigin(const ForwardCall &call, const process::servers::Server &server,
                           const Progress &progress) const -> bool;
--- a/src/request/forward/istreamorigins.h
+++ b/src/request/forward/istreamorigins.h
@@ -9,6 +9,13 @@
 
 namespace nutmegplank::request::forward {
 
+struct OriginAnswer
+{
+    //! Version that began the stream; nothing if that is not known.
+    std::optional<std::string> software;
+    bool mayBeKnownLater = false; //!< The log could not be read.
+};
+
 //! Which software version began a caller's stream, for as long as it may be taken up again.
 class IStreamOrigins
 {
@@ -24,9 +31,9 @@
     virtual auto record(version::streamorigin::StreamOrigin origin)
         -> boost::asio::awaitable<bool> = 0;
     //! Software version that began the stream of \a requestId, which is empty if the caller does
-    //! not name it. Nothing if that is not known.
+    //! not name it.
     virtual auto find(std::string service, std::string requestId)
-        -> boost::asio::awaitable<std::optional<std::string>> = 0;
+        -> boost::asio::awaitable<OriginAnswer> = 0;
 };
 
 } // namespace nutmegplank::request::forward
--- a/tests/integration/test_software.py
+++ b/tests/integration/test_software.py
@@ -248,6 +248,10 @@
         clients = self.begin()
         self.world.store.mode = "silent"
         self.take_up(clients)
+        # What is not known while the store is away may be known later; nobody is told to give up.
+        for client in clients:
+            if client.status == 503:
+                self.assertGreater(float(client.retry_after), 0)
         self.world.store.mode = "up"
         new = self.begin()
         self.check_not_lost(new, self.take_up(new))
--- a/tests/platformworld/streamclient.py
+++ b/tests/platformworld/streamclient.py
@@ -20,6 +20,7 @@
         self.events: list[str] = []
         self.first_request = ""  #: Brought the first event.
         self.status: int | None = None  #: Of the last try; None if no answer came.
+        self.retry_after: str | None = None  #: Of the last answer.
         self.connection: http.client.HTTPConnection | None = None
         self.response = None
 
@@ -40,6 +41,7 @@
             self.connection.request("POST", "/talks/1", self.body, headers)
             self.response = self.connection.getresponse()
             self.status = self.response.status
+            self.retry_after = self.response.headers.get("Retry-After")
             if self.status != 200:
                 self.response.read()
         except (OSError, http.client.HTTPException):
