Share the question whether a server's software version is sure

Requests of callers and items asked it in two places with the same rule; it stands in process/health now. The recording of a stream's origin is a function of its own. No change of behaviour; tests of streams, items and health pass.

--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "base/status.h"
 #include "base/text.h"
+#include "process/health/confirmedsoftware.h"
 #include "process/logging/logging.h"
 #include "request/forward/servicechoice.h"
 #include "request/serverprotocol/limitobservation.h"
@@ -102,12 +103,9 @@
 //! Software version of the process that answers for \a server; empty if not known for certain.
 auto Forwarder::softwareOf(const Server &server) const -> std::string
 {
-    const auto &record = server.record;
-    // A server that was unreachable since it last registered may have restarted with other
-    // software.
-    const auto isSure = m_dependencies.health.unreachableAt(record.id) <= server.heardAt
-        || !m_dependencies.servers.hasSeveralVersions(record.service);
-    return isSure ? record.software : std::string();
+    const auto isSure =
+        process::health::isSoftwareSure(server, m_dependencies.servers, m_dependencies.health);
+    return isSure ? server.record.software : std::string();
 }
 
 auto Forwarder::isLeft(const std::string &service, const std::string &software) const -> bool
@@ -206,6 +204,17 @@
     return m_dependencies.streamOrigins.mustRecord(server.record.service, software);
 }
 
+//! Records that the stream of \a call begins at the server, and keeps it to that software version.
+auto Forwarder::recordOrigin(ForwardCall &call, const Server &server, Progress &progress)
+    -> asio::awaitable<bool>
+{
+    call.software = softwareOf(server);
+    auto origin = version::streamorigin::StreamOrigin { call.requestId, server.record.service,
+                                                        call.software };
+    progress.recorded = co_await m_dependencies.streamOrigins.record(std::move(origin));
+    co_return progress.recorded;
+}
+
 //! Whether the software version of the server allows the request to be sent to it.
 auto Forwarder::maySend(const ForwardCall &call, const Server &server,
                         const Progress &progress) const -> bool
@@ -273,20 +282,14 @@
             continue;
         }
         if (mustRecordOrigin(call, *server, progress)) {
-            const auto software = softwareOf(*server);
-            auto origin = version::streamorigin::StreamOrigin { call.requestId,
-                                                                server->record.service, software };
-            progress.recorded = co_await m_dependencies.streamOrigins.record(std::move(origin));
-            if (!progress.recorded) {
+            if (!co_await recordOrigin(call, *server, progress)) {
                 result.end = progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::NotRun;
                 result.detail = "the software version of the server cannot be recorded";
                 result.retryAfter = LOG_RETRY;
                 co_return result;
             }
-            // The choice is made again, since other requests may have used up what the server
-            // could take.
-            call.software = software;
-            if (!software.empty())
+            // Other requests may have used up meanwhile what the server could take.
+            if (!call.software.empty())
                 continue;
         }
         auto attemptResult =
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -186,6 +186,8 @@
     auto isLeft(const std::string &service, const std::string &software) const -> bool;
     auto mustRecordOrigin(const ForwardCall &call, const process::servers::Server &server,
                           const Progress &progress) const -> bool;
+    auto recordOrigin(ForwardCall &call, const process::servers::Server &server, Progress &progress)
+        -> boost::asio::awaitable<bool>;
     auto maySend(const ForwardCall &call, const process::servers::Server &server,
                  const Progress &progress) const -> bool;
     auto softwareOf(const process::servers::Server &server) const -> std::string;
--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "process/clock/clock.h"
+#include "process/health/confirmedsoftware.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -75,10 +76,7 @@
         load.id = id;
         load.service = record.service;
         load.software = record.software;
-        // A server that was unreachable since it last registered may have restarted with other
-        // software.
-        load.softwareSure = m_health.unreachableAt(id) <= server.heardAt
-            || !m_servers.hasSeveralVersions(record.service);
+        load.softwareSure = process::health::isSoftwareSure(server, m_servers, m_health);
         load.slots = record.slots;
         load.running = runningAt(id);
         load.cacheTokens = service->engine->cacheTokens;
