--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 
+#include "app/node/respondersink.h"
 #include "base/status.h"
 #include "base/text.h"
 #include "process/clock/clock.h"
@@ -49,29 +50,6 @@
 constexpr auto STATUS_OK = 200U;
 constexpr auto FIRST_ERROR = 400U;
 
-//! Passes a streamed answer on as it arrives.
-class ResponderSink : public request::forward::IAnswerSink
-{
-public:
-    ResponderSink(http::IHttpResponder &responder, const request::call::ICallProtocol &protocol)
-        : m_responder(responder)
-        , m_protocol(protocol)
-    { }
-
-    auto begin(const http::Response &head) -> asio::awaitable<absl::Status> override
-    {
-        co_return co_await m_responder.startStream(m_protocol.toCallerResponse(head));
-    }
-    auto write(std::string data) -> asio::awaitable<absl::Status> override
-    {
-        co_return co_await m_responder.writeChunk(data);
-    }
-
-private:
-    http::IHttpResponder &m_responder;
-    const request::call::ICallProtocol &m_protocol;
-};
-
 auto refusalFor(const request::forward::ForwardResult &result) -> Refusal
 {
     switch (result.end) {
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 
+#include "app/node/pooloptions.h"
 #include "base/hash.h"
 #include "base/status.h"
 #include "base/text.h"
@@ -46,23 +47,6 @@
 constexpr auto STATUS_NOT_FOUND = 404U;
 constexpr auto STATUS_UNAVAILABLE = 503U;
 constexpr auto METRICS_PORT = std::uint16_t(9464);
-constexpr auto CONNECT_TIME = std::chrono::milliseconds(400);
-constexpr auto USER_TIMEOUT = std::chrono::milliseconds(3000);
-constexpr auto IDLE_CONNECTION = std::chrono::seconds(8);
-constexpr auto MOST_IDLE = std::size_t(32);
-//! Twenty servers that answer without end must fit into the smallest VM's memory, 160 MB.
-constexpr auto MAX_ANSWER_BYTES = std::uint64_t(4 * 1024 * 1024);
-
-auto poolOptions() -> connection::backend::BackendPoolOptions
-{
-    auto options = connection::backend::BackendPoolOptions();
-    options.connect.timeout = CONNECT_TIME;
-    options.connect.userTimeout = USER_TIMEOUT;
-    options.connect.bodyBytes = MAX_ANSWER_BYTES;
-    options.idleTime = IDLE_CONNECTION;
-    options.mostIdle = MOST_IDLE;
-    return options;
-}
 
 } // namespace
 
@@ -72,7 +56,7 @@
     , m_incarnation(base::concat(m_settings.node, "#", base::randomId().substr(0, 8)))
     , m_trueTime(process::clock::wallMilliseconds(), process::clock::now())
     , m_store(m_settings.storeEndpoint, m_settings.appendLimits, m_metrics)
-    , m_pools(poolOptions())
+    , m_pools(serverPoolOptions())
     , m_fencedCalls([this](std::uint64_t fence, base::TimePoint now) {
         return m_conductor.permitCall(fence, now);
     })
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -5,7 +5,6 @@
 #include "base/hash.h"
 #include "base/status.h"
 #include "base/text.h"
-#include "process/health/confirmedsoftware.h"
 #include "process/logging/logging.h"
 #include "request/forward/servicechoice.h"
 #include "request/serverprotocol/limitobservation.h"
@@ -40,8 +39,6 @@
 constexpr auto ANSWER_MARGIN = std::chrono::milliseconds(15);
 //! The smoothed latency moves by the difference to a new sample divided by this.
 constexpr auto LATENCY_SMOOTHING = 5;
-//! When a caller may come back that needs the log: it is back within a second or two.
-constexpr auto LOG_RETRY = std::chrono::milliseconds(1000);
 constexpr auto SERVER_ERROR = 500U;
 
 auto isRetryable(const version::routing::Route &route) -> bool
@@ -54,35 +51,11 @@
     return route.kind == RouteKind::Stream;
 }
 
-auto isResumable(const version::routing::Route &route) -> bool
-{
-    return isStream(route) && route.resumable;
-}
-
-auto serviceFor(const ForwardCall &call) -> const std::string &
-{
-    return chooseService(call.route, call.requestId,
-                         call.resumesStream ? call.streamBegunBy : std::string());
-}
-
 } // namespace
 
-auto ForwardHandle::cancel() -> void
-{
-    m_cancelled = true;
-    if (m_connection != nullptr)
-        m_connection->close();
-}
-
-auto ForwardHandle::attach(connection::backend::ConnectionPtr connection) -> void
-{
-    m_connection = std::move(connection);
-    if (m_cancelled)
-        m_connection->close();
-}
-
 Forwarder::Forwarder(ForwarderDependencies dependencies)
     : m_dependencies(std::move(dependencies))
+    , m_streamVersions(m_dependencies.servers, m_dependencies.health, m_dependencies.streamOrigins)
     , m_attempts(m_dependencies.metrics.counter("nutmegplank_attempts_total",
                                                 "Requests sent to backend servers."))
     , m_attemptSeconds(m_dependencies.metrics.distribution("nutmegplank_attempt_seconds",
@@ -100,49 +73,12 @@
     return { found->coldRequestsPerSecond / static_cast<double>(machineCount), found->coldStart };
 }
 
-//! Software version of the process that answers for \a server; empty if not known for certain.
-auto Forwarder::softwareOf(const Server &server) const -> std::string
-{
-    const auto isSure =
-        process::health::isSoftwareSure(server, m_dependencies.servers, m_dependencies.health);
-    return isSure ? server.record.software : std::string();
-}
-
-auto Forwarder::isLeft(const std::string &service, const std::string &software) const -> bool
-{
-    return std::ranges::any_of(m_dependencies.servers.usableOf(service), [&](const Server *server) {
-        return server->record.software == software;
-    });
-}
-
-auto Forwarder::prepareResumption(ForwardCall &call)
-    -> asio::awaitable<std::optional<ForwardResult>>
-{
-    const auto service = serviceFor(call);
-    const auto origin = co_await m_dependencies.streamOrigins.find(service, call.streamBegunBy);
-    auto result = ForwardResult();
-    result.end = ForwardOutcome::CannotResume;
-    if (!origin.software.has_value()) {
-        result.detail = "it is not known which software version began the stream";
-        if (origin.mayBeKnownLater) {
-            result.end = ForwardOutcome::NotRun;
-            result.retryAfter = LOG_RETRY;
-        }
-        co_return result;
-    }
-    call.software = *origin.software;
-    if (isLeft(service, call.software))
-        co_return std::nullopt;
-    result.detail = "no server of the software version that began the stream is left";
-    co_return result;
-}
-
 auto Forwarder::waitForAllowance(const ForwardCall &call) -> base::Duration
 {
     const auto now = m_dependencies.now();
     auto &limits = m_dependencies.health.limits();
     auto shortest = std::optional<base::Duration>();
-    for (const auto *server : m_dependencies.servers.usableOf(serviceFor(call))) {
+    for (const auto *server : m_dependencies.servers.usableOf(chooseService(call))) {
         const auto &id = server->record.id;
         const auto wait = limits.untilNextStart(id, now);
         if (wait.count() == 0)
@@ -156,7 +92,7 @@
 auto Forwarder::chooseServer(const ForwardCall &call, const Progress &progress)
     -> std::optional<Server>
 {
-    const auto &service = serviceFor(call);
+    const auto &service = chooseService(call);
     const auto table = m_dependencies.routing();
     const auto *serviceSettings = table == nullptr ? nullptr : table->findService(service);
     const auto machineCount = std::max<std::size_t>(1, m_dependencies.memberCount());
@@ -182,7 +118,7 @@
         candidate.sameZone = server->record.zone == m_dependencies.zone;
         candidate.preferred = id == preferredServer;
         candidate.tried = progress.tried.contains(id) || progress.unavailable.contains(id)
-            || !maySend(call, *server, progress);
+            || !m_streamVersions.maySend(call, *server);
         candidates.push_back(std::move(candidate));
     }
     const auto pickedIndex = pickServer(candidates);
@@ -191,41 +127,6 @@
     return *servers[*pickedIndex];
 }
 
-//! Whether a stream that begins at the server must be recorded first. Once one record is made,
-//! others must correct it if the stream begins elsewhere.
-auto Forwarder::mustRecordOrigin(const ForwardCall &call, const Server &server,
-                                 const Progress &progress) const -> bool
-{
-    if (!isResumable(call.route) || call.resumesStream)
-        return false;
-    const auto software = softwareOf(server);
-    if (progress.recorded)
-        return software.empty() || software != call.software;
-    return m_dependencies.streamOrigins.mustRecord(server.record.service, software);
-}
-
-//! Records that the stream of \a call begins at the server, and keeps it to that software version.
-auto Forwarder::recordOrigin(ForwardCall &call, const Server &server, Progress &progress)
-    -> asio::awaitable<bool>
-{
-    call.software = softwareOf(server);
-    auto origin = version::streamorigin::StreamOrigin { call.requestId, server.record.service,
-                                                        call.software };
-    progress.recorded = co_await m_dependencies.streamOrigins.record(std::move(origin));
-    co_return progress.recorded;
-}
-
-//! Whether the software version of the server allows the request to be sent to it.
-auto Forwarder::maySend(const ForwardCall &call, const Server &server,
-                        const Progress &progress) const -> bool
-{
-    if (!isResumable(call.route))
-        return true;
-    if (!call.software.empty())
-        return softwareOf(server) == call.software;
-    return m_dependencies.streamOrigins.canRecord() || !mustRecordOrigin(call, server, progress);
-}
-
 auto Forwarder::attemptDeadline(const ForwardCall &call, const Progress &progress) const
     -> base::TimePoint
 {
@@ -251,11 +152,9 @@
         co_return result;
     }
     auto progress = Progress();
-    if (isResumable(call.route) && call.resumesStream) {
-        auto refusal = co_await prepareResumption(call);
-        if (refusal.has_value())
-            co_return std::move(*refusal);
-    }
+    auto refusal = co_await m_streamVersions.prepare(call);
+    if (refusal.has_value())
+        co_return std::move(*refusal);
     auto selectionDeadline =
         m_dependencies.now() + call.route.targetLatency / SELECTION_TIMEOUT_DIVISOR;
     while (!handle->cancelled()) {
@@ -281,13 +180,10 @@
             progress.unavailable.clear();
             continue;
         }
-        if (mustRecordOrigin(call, *server, progress)) {
-            if (!co_await recordOrigin(call, *server, progress)) {
-                result.end = progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::NotRun;
-                result.detail = "the software version of the server cannot be recorded";
-                result.retryAfter = LOG_RETRY;
-                co_return result;
-            }
+        if (m_streamVersions.mustRecord(call, *server)) {
+            auto failure = co_await m_streamVersions.record(call, *server, progress.mayHaveRun);
+            if (failure.has_value())
+                co_return std::move(*failure);
             // Other requests may have used up meanwhile what the server could take.
             if (!call.software.empty())
                 continue;
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -8,66 +8,20 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "base/enumtable.h"
 #include "connection/backend/backendpools.h"
 #include "process/health/serverhealth.h"
 #include "process/metrics/metrics.h"
 #include "process/servers/servertable.h"
-#include "request/forward/istreamorigins.h"
+#include "request/forward/forwardcall.h"
+#include "request/forward/forwardhandle.h"
 #include "request/forward/poisonrequestdetector.h"
 #include "request/forward/serverpicker.h"
+#include "request/forward/streamversions.h"
 #include "request/serverprotocol/iserverprotocol.h"
 #include "version/routing/routingtable.h"
 
 namespace nutmegplank::request::forward {
 
-//! A caller's request to be sent to a backend server.
-struct ForwardCall
-{
-    connection::http::Request request; //!< Without the caller's key and hop-by-hop headers.
-    std::string requestId;
-    std::string workspace;
-    version::routing::Route route;
-    bool resumesStream = false;  //!< Takes up a stream after its last event.
-    std::string streamBegunBy;   //!< Request id of the attempt that began it; empty if not named.
-    std::string software;        //!< Only servers of this version may get it; empty: all.
-    base::TimePoint deadline {}; //!< The earlier of the caller's deadline and the route's timeout.
-};
-
-enum class ForwardOutcome {
-    Answered,     //!< A backend server answered.
-    NotRun,       //!< No server has run the request, and none will.
-    Unknown,      //!< The request may have run; its answer is lost.
-    Expired,      //!< The deadline has passed; the request may have run.
-    Quarantined,  //!< Not sent, because the request has crashed too many servers.
-    CannotResume, //!< Not sent, as no server may go on with the stream.
-    CallerGone,
-};
-
-constexpr auto FORWARD_OUTCOME_NAMES = base::EnumTable<ForwardOutcome, 7> { {
-    { ForwardOutcome::Answered, "answered" },
-    { ForwardOutcome::NotRun, "not_run" },
-    { ForwardOutcome::Unknown, "unknown" },
-    { ForwardOutcome::Expired, "expired" },
-    { ForwardOutcome::Quarantined, "condemned" },
-    { ForwardOutcome::CannotResume, "cannot_resume" },
-    { ForwardOutcome::CallerGone, "caller_gone" },
-} };
-
-struct ForwardResult
-{
-    ForwardOutcome end = ForwardOutcome::NotRun;
-    connection::http::Response response; //!< Only when Answered; without a body when streamed.
-    bool streamed = false;               //!< The body was written to the sink.
-    bool complete = true;                //!< False when a streamed body was cut off.
-    std::string detail;
-    std::uint32_t attempts = 0;
-    std::string server; //!< Id of the server of the last attempt.
-    //! Only when NotRun: time until a server's limit lets this machine send to it, or until the log
-    //! may be back; 0 if neither is the cause.
-    base::Duration retryAfter { 0 };
-};
-
 //! Receives a streamed answer: begin() once with the head, then write() for each part of the body.
 //! An error means that the caller has disconnected.
 class IAnswerSink
@@ -79,22 +33,6 @@
     virtual auto write(std::string data) -> boost::asio::awaitable<absl::Status> = 0;
 };
 
-//! Cancels a running request when its caller disconnects, by closing the connection of the current
-//! attempt.
-class ForwardHandle
-{
-public:
-    auto cancel() -> void;
-    auto cancelled() const -> bool { return m_cancelled; }
-    //! Sets the connection to close on cancel(); closes it immediately if already cancelled.
-    auto attach(connection::backend::ConnectionPtr connection) -> void;
-    auto detach() -> void { m_connection.reset(); }
-
-private:
-    connection::backend::ConnectionPtr m_connection;
-    bool m_cancelled = false;
-};
-
 //! Dependencies of the forwarder; all of them outlive it.
 struct ForwarderDependencies
 {
@@ -163,7 +101,6 @@
         std::uint32_t ran = 0;
         std::uint32_t sent = 0; //!< Attempts that a server may have run.
         bool mayHaveRun = false;
-        bool recorded = false; //!< The origin of the stream has been recorded.
     };
 
     auto chooseServer(const ForwardCall &call, const Progress &progress)
@@ -179,18 +116,6 @@
     auto readAnswer(const ForwardCall &call, connection::http::IHttpConnection &connection,
                     connection::http::Response head, base::TimePoint until, IAnswerSink &sink)
         -> boost::asio::awaitable<Attempt>;
-    //! Finds the software version that must go on with the stream of \a call. Returns nothing if a
-    //! server of it is left, else how the call ends.
-    auto prepareResumption(ForwardCall &call)
-        -> boost::asio::awaitable<std::optional<ForwardResult>>;
-    auto isLeft(const std::string &service, const std::string &software) const -> bool;
-    auto mustRecordOrigin(const ForwardCall &call, const process::servers::Server &server,
-                          const Progress &progress) const -> bool;
-    auto recordOrigin(ForwardCall &call, const process::servers::Server &server, Progress &progress)
-        -> boost::asio::awaitable<bool>;
-    auto maySend(const ForwardCall &call, const process::servers::Server &server,
-                 const Progress &progress) const -> bool;
-    auto softwareOf(const process::servers::Server &server) const -> std::string;
     auto attemptDeadline(const ForwardCall &call, const Progress &progress) const
         -> base::TimePoint;
     auto coldStartRule(const std::string &service) const -> process::health::ColdRule;
@@ -198,6 +123,7 @@
                      const Attempt &attempt, base::TimePoint startedAt, Progress &progress) -> void;
 
     ForwarderDependencies m_dependencies;
+    StreamVersions m_streamVersions;
     std::unordered_map<std::string, std::uint32_t> m_outstanding; //!< By server id.
     std::unordered_map<std::string, base::Duration> m_latency;    //!< By server id, smoothed.
     process::metrics::Counter &m_attempts;
--- a/src/request/forward/servicechoice.h
+++ b/src/request/forward/servicechoice.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "base/hash.h"
-#include "version/routing/routingtable.h"
+#include "request/forward/forwardcall.h"
 
 namespace nutmegplank::request::forward {
 
@@ -18,4 +18,11 @@
     return version::routing::pickService(route, static_cast<double>(bucket) / BUCKETS);
 }
 
+//! The service that gets \a call.
+inline auto chooseService(const ForwardCall &call) -> const std::string &
+{
+    return chooseService(call.route, call.requestId,
+                         call.resumesStream ? call.streamBegunBy : std::string());
+}
+
 } // namespace nutmegplank::request::forward
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -6,8 +6,10 @@
 
 #include "process/logging/logging.h"
 #include "process/logging/taskfailure.h"
+#include "request/rollout/itemrequest.h"
 #include "request/rollout/moveplan.h"
-#include "request/rollout/resumption.h"
+#include "request/rollout/placementlog.h"
+#include "request/rollout/strandedtexts.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -20,11 +22,6 @@
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 constexpr auto TICK_INTERVAL = std::chrono::milliseconds(60);
-//! Items with much output left get the more urgent (lower) value: engines admit them first and
-//! preempt them last.
-constexpr auto LONG_OUTPUT_TOKENS = std::uint64_t(1500);
-constexpr auto LONG_OUTPUT_URGENCY = 2U;
-constexpr auto DEFAULT_URGENCY = 5U;
 
 } // namespace
 
@@ -198,35 +195,10 @@
     }
 }
 
-//! Items whose text no engine may go on with, or not soon enough, begin again.
-auto RolloutExecutor::discardStrandedTexts(const std::vector<EngineLoad> &engines) -> void
-{
-    const auto now = m_dependencies.now();
-    for (auto &[id, batch] : m_batches.all()) {
-        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
-            auto &item = batch.items[index];
-            if (item.state != ItemState::Waiting || item.transcript->empty())
-                continue;
-            const auto reason = reasonToBeginAgain(describeWaiting(batch, index, 0), engines,
-                                                   now - item.waitingSince);
-            if (reason.empty())
-                continue;
-            logging::info("rollout.text_discarded",
-                          { { "batch", id },
-                            { "item", batch.submission->items[index].id },
-                            { "begun_at", item.transcript->software() },
-                            { "events", item.transcript->eventCount() },
-                            { "reason", reason } });
-            item.transcript->reset();
-            item.savedEvents = 0;
-        }
-    }
-}
-
 auto RolloutExecutor::place() -> void
 {
     auto engines = m_loadTracker.loads(m_dependencies.now());
-    discardStrandedTexts(engines);
+    discardStrandedTexts(m_batches, engines, m_dependencies.now());
     auto waiting = std::vector<WaitingItem>();
     auto keys = std::vector<ItemKey>();
     m_batches.collectWaiting(waiting, keys, m_dependencies.now());
@@ -243,33 +215,6 @@
         m_supervisor.moveRuns(engines, m_dependencies.now());
 }
 
-auto RolloutExecutor::buildRequest(const OpenBatch &batch, std::size_t index,
-                                   const EngineLoad &engine) const -> connection::http::Request
-{
-    const auto &head = batch.submission->head;
-    const auto &source = batch.submission->items[index];
-    const auto &item = batch.items[index];
-    auto request = connection::http::Request();
-    request.method = "POST";
-    request.target = source.path;
-    request.headers = source.headers;
-    request.headers.push_back({ "Host", head.host });
-    request.body = source.body;
-    auto envelope = serverprotocol::Envelope();
-    envelope.serverId = engine.id;
-    envelope.workspace = head.workspace;
-    envelope.timeLeft = std::chrono::milliseconds(batch.expiresAtMs - m_dependencies.wallClockMs());
-    envelope.urgency = expectedRemainingTokens(batch, index) >= LONG_OUTPUT_TOKENS
-        ? LONG_OUTPUT_URGENCY
-        : DEFAULT_URGENCY;
-    if (!item.transcript->empty())
-        envelope.lastEvent = item.transcript->lastId();
-    if (item.route->singleVersion)
-        envelope.weightVersion = engine.modelVersion.at(head.model);
-    m_dependencies.protocol.addEnvelope(request, envelope);
-    return request;
-}
-
 auto RolloutExecutor::startRun(const ItemKey &key, const EngineLoad &engine) -> void
 {
     auto &batch = m_batches.all().at(key.batch);
@@ -278,39 +223,21 @@
     if (server == nullptr || item.route == nullptr)
         return;
     item.run = std::make_shared<ItemRun>(
-        buildRequest(batch, key.item, engine), batch.submission->items[key.item].id,
-        item.transcript, m_dependencies.protocol, engine.confirmedSoftware(),
-        m_loadTracker.limitObserver(engine.id, m_dependencies.now()));
+        buildItemRequest(batch, key.item, engine, m_dependencies.protocol,
+                         m_dependencies.wallClockMs()),
+        batch.submission->items[key.item].id, item.transcript, m_dependencies.protocol,
+        engine.confirmedSoftware(), m_loadTracker.limitObserver(engine.id, m_dependencies.now()));
     item.state = ItemState::Running;
     item.engine = engine.id;
     item.engineIncarnation = server->record.incarnation;
     item.sampledEvents = 0;
-    logPlacement(key, engine, *server);
+    logPlacement(batch, key.item, engine, m_dependencies.now() - server->heardAt);
     m_loadTracker.noteStart(engine.id, m_dependencies.now());
     m_runs.add();
     asio::co_spawn(m_dependencies.context, runItem(key, item.run, *server),
                    logging::LogTaskFailure("rollout.run"));
 }
 
-auto RolloutExecutor::logPlacement(const ItemKey &key, const EngineLoad &engine,
-                                   const Server &server) const -> void
-{
-    const auto &batch = m_batches.all().at(key.batch);
-    logging::info(
-        "rollout.placed",
-        { { "batch", key.batch },
-          { "item", batch.submission->items[key.item].id },
-          { "server", engine.id },
-          { "software", engine.confirmedSoftware() },
-          { "begun_at", batch.items[key.item].transcript->software() },
-          { "running", engine.running },
-          { "slowdown", engine.slowdown },
-          { "weights", engine.modelVersion.at(batch.submission->head.model) },
-          { "expected_tokens", expectedRemainingTokens(batch, key.item) },
-          { "from_event", batch.items[key.item].transcript->lastId() },
-          { "record_age_ms", base::toMilliseconds(m_dependencies.now() - server.heardAt) } });
-}
-
 auto RolloutExecutor::runItem(ItemKey key, std::shared_ptr<ItemRun> run, Server server)
     -> asio::awaitable<void>
 {
@@ -346,7 +273,9 @@
           { "events", item.transcript->eventCount() },
           { "ran_ms", base::toMilliseconds(m_dependencies.now() - item.run->startedAt()) } });
     auto judged = outcome;
-    if (mayHoldOtherSoftware(item, server, outcome)) {
+    const auto *current = m_dependencies.servers.find(server.record.id);
+    const auto changed = current != nullptr && current->record.software != server.record.software;
+    if (changed && mayHoldOtherSoftware(item, outcome.end)) {
         judged.end = RunEnd::Malformed;
         logging::warning("rollout.software_changed",
                          { { "batch", key.batch },
@@ -360,20 +289,6 @@
     applyDecision(batch, key.item, judged);
 }
 
-//! Whether the engine registered with other software during the run, so that its events may not fit
-//! to those before.
-auto RolloutExecutor::mayHoldOtherSoftware(const OpenItem &item, const Server &server,
-                                           const RunOutcome &outcome) const -> bool
-{
-    const auto *current = m_dependencies.servers.find(server.record.id);
-    if (current == nullptr || current->record.software == server.record.software
-        || item.run->runEvents() == 0)
-        return false;
-    const auto isWhole =
-        outcome.end == RunEnd::Completed && item.run->runEvents() == item.transcript->eventCount();
-    return !isWhole;
-}
-
 auto RolloutExecutor::applyDecision(OpenBatch &batch, std::size_t index, const RunOutcome &outcome)
     -> void
 {
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -83,14 +83,11 @@
     auto tickLoop() -> boost::asio::awaitable<void>;
     auto tick() -> void;
     auto place() -> void;
-    auto discardStrandedTexts(const std::vector<EngineLoad> &engines) -> void;
     auto startRun(const ItemKey &key, const EngineLoad &engine) -> void;
     auto runItem(ItemKey key, std::shared_ptr<ItemRun> run, process::servers::Server server)
         -> boost::asio::awaitable<void>;
     auto finishRun(const ItemKey &key, const process::servers::Server &server,
                    const RunOutcome &outcome) -> void;
-    auto mayHoldOtherSoftware(const OpenItem &item, const process::servers::Server &server,
-                              const RunOutcome &outcome) const -> bool;
     auto applyDecision(OpenBatch &batch, std::size_t index, const RunOutcome &outcome) -> void;
     auto scoringDependencies() -> scoring::ScoringDependencies;
     auto startScoring(OpenBatch &batch, std::size_t index) -> void;
@@ -98,10 +95,6 @@
     auto abandonScoring(const scoring::ScoringKey &key, std::string_view reason) -> void;
     auto finishItem(OpenBatch &batch, std::size_t index, bool lost, std::string_view reason)
         -> void;
-    auto buildRequest(const OpenBatch &batch, std::size_t index, const EngineLoad &engine) const
-        -> connection::http::Request;
-    auto logPlacement(const ItemKey &key, const EngineLoad &engine,
-                      const process::servers::Server &server) const -> void;
     auto abandonExpiredItems() -> void;
 
     ExecutorDependencies m_dependencies;
