Read the list of servers before a stream or text goes on

Callers that took a stream up right after a server had come back under its id with other software got the rest from that software: joined in three of three runs of test_take_up_right_after_a_server_came_back_with_other_software. Cause: a machine knew the server by its old record for up to half a second, since the list of servers is read each 0.4 s; the class is a decision on knowledge that is older than the event which made it necessary.

A take-up reads the list as it is now, with the two reads of origins. An item with a text waits, while several versions serve, until the list was read after its last run had ended, and asks for that read at once. A stream that breaks off after its server changed software may have begun at either; its origin is recorded as not known before the caller is told.

--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -95,6 +95,8 @@
              m_parts.protocol,
              m_parts.metrics,
              m_parts.routing,
+             m_parts.serversReadAt,
+             m_parts.readServersNow,
              [] { return process::clock::now(); },
              [this] { return m_parts.trueTime.milliseconds(process::clock::now()); },
              [this](const std::string &batch, version::batch::Result result) {
--- a/src/app/node/conductor.h
+++ b/src/app/node/conductor.h
@@ -38,6 +38,8 @@
     std::string process; //!< Unique name of this incarnation.
     std::function<version::routing::RoutingTablePtr()> routing;
     std::function<std::map<std::string, std::uint64_t>()> namedVersions;
+    std::function<base::TimePoint()> serversReadAt; //!< See ExecutorDependencies.
+    std::function<void()> readServersNow;
 };
 
 //! Everything that one machine at a time does: runs batches, orders weights and servers, reports
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -44,6 +44,9 @@
 constexpr auto GRACE_SHARE = 0.95;
 //! A leaving process stays at least until callers have asked the directory again.
 constexpr auto LEAST_STAY = std::chrono::milliseconds(2500);
+//! A caller waits for its stream meanwhile; the log answers in some milliseconds.
+constexpr auto REFRESH_TIME = std::chrono::milliseconds(300);
+constexpr auto REFRESH_CHECK = std::chrono::milliseconds(2);
 constexpr auto STATUS_NOT_FOUND = 404U;
 constexpr auto STATUS_UNAVAILABLE = 503U;
 constexpr auto METRICS_PORT = std::uint16_t(9464);
@@ -91,9 +94,12 @@
     , m_conductor({ m_runtime.context(), m_store, m_batches, m_servers, m_health, m_engines,
                     m_pools, m_serverProtocol, m_fencedCalls, m_engineControl, m_duties, m_trueTime,
                     m_metrics, m_settings, m_incarnation, [this] { return m_routing.load(); },
-                    [this] { return m_namedVersions; } })
+                    [this] { return m_namedVersions; },
+                    [this] { return m_serverFollower.currentAsOf(); },
+                    [this] { m_serverFollower.readNow(); } })
     , m_streamOrigins(m_runtime.context(), m_store, m_servers,
-                      [this](base::TimePoint now) { return m_conductor.isInCharge(now); })
+                      { [this](base::TimePoint now) { return m_conductor.isInCharge(now); },
+                        [this] { return refreshServers(); } })
     , m_forwarder({ m_runtime.context(), m_servers, m_health, m_pools, m_serverProtocol, m_metrics,
                     m_suspects, m_streamOrigins, m_settings.node, m_settings.zone,
                     [this] { return m_routing.load(); }, [] { return process::clock::now(); },
@@ -324,6 +330,19 @@
     m_resuming = false;
 }
 
+//! Reads the list of servers as it is now. False if the log does not answer in time.
+auto Node::refreshServers() -> asio::awaitable<bool>
+{
+    const auto needed = process::clock::now();
+    m_serverFollower.readNow();
+    while (m_serverFollower.currentAsOf() < needed) {
+        if (process::clock::now() - needed >= REFRESH_TIME)
+            co_return false;
+        co_await process::clock::pauseFor(REFRESH_CHECK);
+    }
+    co_return true;
+}
+
 auto Node::housekeeping() -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(m_runtime.context());
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -48,6 +48,7 @@
     auto checkPause(base::TimePoint now) -> void;
     auto readConfigurationAgain() -> boost::asio::awaitable<void>;
     auto housekeeping() -> boost::asio::awaitable<void>;
+    auto refreshServers() -> boost::asio::awaitable<bool>;
     auto waitForQuiet(base::TimePoint earliest, base::TimePoint latest)
         -> boost::asio::awaitable<void>;
     auto shutDown() -> boost::asio::awaitable<void>;
--- a/src/app/node/streamorigins.cpp
+++ b/src/app/node/streamorigins.cpp
@@ -37,12 +37,11 @@
 } // namespace
 
 StreamOrigins::StreamOrigins(asio::io_context &context, journal::IJournal &journal,
-                             const process::servers::ServerTable &servers,
-                             std::function<bool(base::TimePoint now)> isInCharge)
+                             const process::servers::ServerTable &servers, StreamOriginHooks hooks)
     : m_context(context)
     , m_journal(journal)
     , m_servers(servers)
-    , m_isInCharge(std::move(isInCharge))
+    , m_hooks(std::move(hooks))
     , m_planner(process::clock::now())
 { }
 
@@ -68,7 +67,7 @@
         const auto now = process::clock::now();
         m_log.expire(now);
         m_planner.observe(versionsInService(), m_log.baselines(), now);
-        if (end.has_value() && m_isInCharge(now))
+        if (end.has_value() && m_hooks.isInCharge(now))
             co_await planBaselines(*end);
         co_await pauseFor(BASELINE_INTERVAL);
     }
@@ -178,8 +177,10 @@
     -> asio::awaitable<request::forward::OriginAnswer>
 {
     auto view = LogView::Stale;
-    // A baseline that was set after an origin was read could not tell of streams before.
-    if (co_await readOrigins() && (co_await readBaselines()).has_value())
+    // A baseline that was set after an origin was read could not tell of streams before. A server
+    // may have come back with other software since the list of servers was read.
+    if (co_await readOrigins() && (co_await readBaselines()).has_value()
+        && co_await m_hooks.refreshServers())
         view = LogView::Complete;
     const auto now = process::clock::now();
     m_planner.observe(versionsInService(), m_log.baselines(), now);
--- a/src/app/node/streamorigins.h
+++ b/src/app/node/streamorigins.h
@@ -16,14 +16,21 @@
 
 namespace nutmegplank::app::node {
 
+//! Callbacks of StreamOrigins; both must be set.
+struct StreamOriginHooks
+{
+    std::function<bool(base::TimePoint now)> isInCharge;
+    //! Reads the list of servers as it is now; false if that failed.
+    std::function<boost::asio::awaitable<bool>()> refreshServers;
+};
+
 //! Keeps the origins of callers' streams in the log: writes them many at a time, reads them when a
 //! stream is taken up, and, on the machine in charge, sets the baselines.
 class StreamOrigins : public request::forward::IStreamOrigins
 {
 public:
     StreamOrigins(boost::asio::io_context &context, version::journal::IJournal &journal,
-                  const process::servers::ServerTable &servers,
-                  std::function<bool(base::TimePoint now)> isInCharge);
+                  const process::servers::ServerTable &servers, StreamOriginHooks hooks);
 
     //! Starts to follow the baselines. Not called where no route has streams that can be resumed,
     //! so that nothing is read there.
@@ -60,7 +67,7 @@
     boost::asio::io_context &m_context;
     version::journal::IJournal &m_journal;
     const process::servers::ServerTable &m_servers;
-    std::function<bool(base::TimePoint now)> m_isInCharge;
+    StreamOriginHooks m_hooks;
     version::streamorigin::OriginLog m_log;
     version::streamorigin::BaselinePlanner m_planner;
     std::vector<std::shared_ptr<Pending>> m_pending;
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -203,6 +203,8 @@
             const auto failed = attemptResult.response.status >= SERVER_ERROR;
             if (failed && isRetryable(call.route) && !attemptsExhausted && !attemptResult.streamed)
                 continue;
+            if (attemptResult.streamed && !attemptResult.complete)
+                co_await m_streamVersions.verify(call, *server);
             m_dependencies.poisonRequests.clear(fingerprint);
             result.end = ForwardOutcome::Answered;
             result.response = std::move(attemptResult.response);
--- a/src/request/forward/streamversions.cpp
+++ b/src/request/forward/streamversions.cpp
@@ -85,6 +85,16 @@
     co_return result;
 }
 
+auto StreamVersions::verify(const ForwardCall &call, const Server &server) -> asio::awaitable<void>
+{
+    const auto *current = m_servers.find(server.record.id);
+    const auto isSame = current == nullptr || current->record.software == server.record.software;
+    if (!isResumable(call.route) || call.resumesStream || isSame)
+        co_return;
+    auto origin = version::streamorigin::StreamOrigin { call.requestId, server.record.service, "" };
+    co_await m_origins.record(std::move(origin));
+}
+
 auto StreamVersions::maySend(const ForwardCall &call, const Server &server) const -> bool
 {
     if (!isResumable(call.route))
--- a/src/request/forward/streamversions.h
+++ b/src/request/forward/streamversions.h
@@ -35,6 +35,12 @@
     auto record(ForwardCall &call, const process::servers::Server &server, bool mayHaveRun)
         -> boost::asio::awaitable<std::optional<ForwardResult>>;
 
+    //! To be called when a stream that began at \a server has broken off, before its caller is
+    //! told. If the server came back with other software meanwhile, the stream may have begun at
+    //! either version; then nobody may go on with it.
+    auto verify(const ForwardCall &call, const process::servers::Server &server)
+        -> boost::asio::awaitable<void>;
+
 private:
     auto softwareOf(const process::servers::Server &server) const -> std::string;
     auto isLeft(const std::string &service, const std::string &software) const -> bool;
--- a/src/request/forward/tests/streamversions_tests.cpp
+++ b/src/request/forward/tests/streamversions_tests.cpp
@@ -68,6 +68,13 @@
         return ended.get();
     }
 
+    auto runVoid(boost::asio::awaitable<void> task) -> void
+    {
+        auto context = boost::asio::io_context();
+        boost::asio::co_spawn(context, std::move(task), boost::asio::detached);
+        context.run();
+    }
+
     process::servers::ServerTable servers { {} };
     process::health::ServerHealth health;
     FakeOrigins origins;
@@ -135,6 +142,17 @@
     EXPECT_TRUE(versions.maySend(call, server("c")));
 }
 
+TEST_F(StreamVersionsTest,
+       StreamVersions_ServerThatCameBackWithOtherSoftware_LeavesTheOriginUnknown)
+{
+    const auto begunAt = server("a");
+    runVoid(versions.verify(call, begunAt));
+    EXPECT_TRUE(origins.recorded.empty());
+    addServer("a", "2.0");
+    runVoid(versions.verify(call, begunAt));
+    EXPECT_EQ(origins.recorded, std::vector<std::string> { "" });
+}
+
 TEST_F(StreamVersionsTest, StreamVersions_RouteWhoseStreamsAreNotResumable_IsNotRestricted)
 {
     call.route.resumable = false;
--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -62,7 +62,8 @@
         m_running.erase(found);
 }
 
-auto EngineLoadTracker::loads(base::TimePoint now) const -> std::vector<EngineLoad>
+auto EngineLoadTracker::loads(base::TimePoint serversReadAt, base::TimePoint now) const
+    -> std::vector<EngineLoad>
 {
     auto engines = std::vector<EngineLoad>();
     if (m_table == nullptr)
@@ -77,6 +78,8 @@
         load.service = record.service;
         load.software = record.software;
         load.softwareSure = process::health::isSoftwareSure(server, m_servers, m_health);
+        if (m_servers.hasSeveralVersions(record.service))
+            load.softwareAsOf = serversReadAt;
         load.slots = record.slots;
         load.running = runningAt(id);
         load.cacheTokens = service->engine->cacheTokens;
--- a/src/request/rollout/engineloadtracker.h
+++ b/src/request/rollout/engineloadtracker.h
@@ -25,8 +25,9 @@
     { }
 
     auto setTable(version::routing::RoutingTablePtr table) -> void { m_table = std::move(table); }
-    //! The engines that may receive items. reservedTokens is left at 0.
-    auto loads(base::TimePoint now) const -> std::vector<EngineLoad>;
+    //! The engines that may receive items. reservedTokens is left at 0. \a serversReadAt: the list
+    //! of servers holds all that was in the log at this time.
+    auto loads(base::TimePoint serversReadAt, base::TimePoint now) const -> std::vector<EngineLoad>;
     auto runningAt(const std::string &engine) const -> std::uint32_t;
 
     auto noteStart(const std::string &engine, base::TimePoint now) -> void;
--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -110,6 +110,7 @@
     entry.route = item.route;
     entry.hasText = !item.transcript->empty();
     entry.software = item.transcript->software();
+    entry.waitingSince = item.waitingSince;
     return entry;
 }
 
--- a/src/request/rollout/placement.cpp
+++ b/src/request/rollout/placement.cpp
@@ -82,7 +82,8 @@
 {
     if (!item.hasText)
         return true;
-    return !item.software.empty() && item.software == engine.confirmedSoftware();
+    return !item.software.empty() && item.software == engine.confirmedSoftware()
+        && engine.softwareAsOf >= item.waitingSince;
 }
 
 auto reserve(const WaitingItem &item, EngineLoad &engine) -> void
--- a/src/request/rollout/placement.h
+++ b/src/request/rollout/placement.h
@@ -15,7 +15,9 @@
 {
     std::string id;
     std::string service;
-    std::string software;     //!< Version of its software by its record; empty if not known.
+    std::string software; //!< Version of its software by its record; empty if not known.
+    //! When its software was last known; unlimited if its service has a single version.
+    base::TimePoint softwareAsOf = base::TimePoint::max();
     bool softwareSure = true; //!< The process that answers is the one of the record.
     std::uint32_t slots = 1;
     std::uint32_t running = 0;        //!< Items running in its slots.
@@ -38,9 +40,10 @@
     std::uint64_t expectedTokens = 0; //!< Estimated output still to be generated.
     std::uint64_t contextTokens = 0;  //!< Cache tokens needed at its start; set to the prompt's.
     base::TimePoint dueAt {};
-    std::string avoidedEngine; //!< Engine that failed it, or was slow.
-    bool hasText = false;      //!< The next run resumes a text.
-    std::string software;      //!< Software version that began the text; empty if not known.
+    std::string avoidedEngine;       //!< Engine that failed it, or was slow.
+    bool hasText = false;            //!< The next run resumes a text.
+    std::string software;            //!< Software version that began the text; empty if not known.
+    base::TimePoint waitingSince {}; //!< When its last run ended.
     const version::routing::Route *route = nullptr; //!< Lists the services that may run it.
 };
 
@@ -53,7 +56,9 @@
 //! Whether \a engine may run \a item now: it serves the item's route with allowed weights, and has
 //! a slot and cache for the item's expected output.
 auto canRunAt(const WaitingItem &item, const EngineLoad &engine) -> bool;
-//! Whether \a engine may go on with the item's text, which only its own software version may.
+//! Whether \a engine may go on with the item's text, which only its own software version may. The
+//! engine may have been replaced until the item's last run ended, so that older knowledge of its
+//! software does not count.
 auto canResumeAt(const WaitingItem &item, const EngineLoad &engine) -> bool;
 //! Adds the item's run to the load of \a engine.
 auto reserve(const WaitingItem &item, EngineLoad &engine) -> void;
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -197,7 +197,7 @@
 
 auto RolloutExecutor::place() -> void
 {
-    auto engines = m_loadTracker.loads(m_dependencies.now());
+    auto engines = m_loadTracker.loads(m_dependencies.serversReadAt(), m_dependencies.now());
     discardStrandedTexts(m_batches, engines, m_dependencies.now());
     auto waiting = std::vector<WaitingItem>();
     auto keys = std::vector<ItemKey>();
@@ -287,6 +287,8 @@
     item.state = ItemState::Waiting;
     item.waitingSince = m_dependencies.now();
     applyDecision(batch, key.item, judged);
+    if (item.state == ItemState::Waiting && !item.transcript->empty())
+        m_dependencies.readServersNow();
 }
 
 auto RolloutExecutor::applyDecision(OpenBatch &batch, std::size_t index, const RunOutcome &outcome)
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -32,6 +32,9 @@
     const serverprotocol::IServerProtocol &protocol;
     process::metrics::Registry &metrics;
     std::function<version::routing::RoutingTablePtr()> routing;
+    //! The list of servers holds all that was in the log at this time.
+    std::function<base::TimePoint()> serversReadAt;
+    std::function<void()> readServersNow; //!< Reads the list without the usual pause.
     std::function<base::TimePoint()> now;
     std::function<std::int64_t()> wallClockMs; //!< Milliseconds since 1970.
     //! Called with each finished item. The caller writes it to the log; it becomes a result of the
--- a/src/request/rollout/tests/resumption_tests.cpp
+++ b/src/request/rollout/tests/resumption_tests.cpp
@@ -55,6 +55,18 @@
     EXPECT_FALSE(canResumeAt(makeItem("1.0"), restarted));
 }
 
+//! A server that came back with other software was known by its old record for a moment.
+TEST(Resumption, Resumption_ListOfServersFromBeforeTheLoss_IsNotEnough)
+{
+    auto item = makeItem("1.0");
+    item.waitingSince = base::TimePoint(1h);
+    auto engine = makeEngine("a", "1.0");
+    engine.softwareAsOf = base::TimePoint(1h - 1ms);
+    EXPECT_FALSE(canResumeAt(item, engine));
+    engine.softwareAsOf = base::TimePoint(1h);
+    EXPECT_TRUE(canResumeAt(item, engine));
+}
+
 TEST(Resumption, Resumption_VersionThatHasLeft_BeginsAgainAtOnce)
 {
     const auto engines = std::vector { makeEngine("a", "2.0"), makeEngine("b", "2.0") };
--- a/src/version/journal/follower.cpp
+++ b/src/version/journal/follower.cpp
@@ -110,6 +110,7 @@
     , m_options(std::move(options))
     , m_hooks(std::move(hooks))
     , m_reachability(m_options.partition)
+    , m_pauseTimer(context)
 { }
 
 auto KeyedFollower::start() -> void
@@ -132,6 +133,7 @@
 
 auto KeyedFollower::readSnapshot() -> asio::awaitable<bool>
 {
+    const auto sentAt = process::clock::now();
     const auto snapshot = co_await m_journal.newest(m_options.partition.topic);
     const auto now = process::clock::now();
     if (!snapshot.ok()) {
@@ -146,6 +148,7 @@
     }
     m_position = snapshot->end;
     m_complete = true;
+    m_currentAsOf = sentAt;
     m_hooks.onSnapshot(keys, now);
     co_return true;
 }
@@ -154,7 +157,8 @@
 //! needed.
 auto KeyedFollower::readNext() -> asio::awaitable<bool>
 {
-    const auto times = m_reachability.nextRead(m_options.wait, process::clock::now());
+    const auto sentAt = process::clock::now();
+    const auto times = m_reachability.nextRead(m_options.wait, sentAt);
     const auto page = co_await m_journal.read(m_options.partition, m_position, times);
     const auto now = process::clock::now();
     if (!page.ok()) {
@@ -174,9 +178,29 @@
                 "journal.malformed_record",
                 { { "topic", m_options.partition.topic }, { "offset", record.offset } });
     }
-    if (m_position >= page->end && m_options.pause.count() > 0)
-        co_await pauseFor(m_options.pause);
+    if (m_position >= page->end) {
+        m_currentAsOf = sentAt;
+        co_await pause();
+    }
     co_return false;
 }
 
+auto KeyedFollower::pause() -> asio::awaitable<void>
+{
+    if (m_options.pause.count() == 0 || std::exchange(m_skipPause, false))
+        co_return;
+    m_pausing = true;
+    m_pauseTimer.expires_after(m_options.pause);
+    co_await m_pauseTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+    m_pausing = false;
+}
+
+auto KeyedFollower::readNow() -> void
+{
+    if (m_pausing)
+        m_pauseTimer.cancel();
+    else
+        m_skipPause = true;
+}
+
 } // namespace nutmegplank::version::journal
--- a/src/version/journal/follower.h
+++ b/src/version/journal/follower.h
@@ -81,11 +81,16 @@
     auto reachability() const -> const Reachability & { return m_reachability; }
     //! Whether a snapshot has been read since the start.
     auto complete() const -> bool { return m_complete; }
+    //! Everything that was in the log at this time has been read.
+    auto currentAsOf() const -> base::TimePoint { return m_currentAsOf; }
+    //! Begins a read now, or after the one that is in progress, instead of after the pause.
+    auto readNow() -> void;
 
 private:
     auto run() -> boost::asio::awaitable<void>;
     auto readSnapshot() -> boost::asio::awaitable<bool>;
     auto readNext() -> boost::asio::awaitable<bool>;
+    auto pause() -> boost::asio::awaitable<void>;
 
     boost::asio::io_context &m_context;
     IJournal &m_journal;
@@ -93,6 +98,10 @@
     KeyedFollowerHooks m_hooks;
     std::uint64_t m_position = 0;
     Reachability m_reachability;
+    boost::asio::steady_timer m_pauseTimer;
+    base::TimePoint m_currentAsOf {};
+    bool m_pausing = false;
+    bool m_skipPause = false;
     bool m_complete = false;
 };
 
--- a/tests/integration/test_software.py
+++ b/tests/integration/test_software.py
@@ -64,6 +64,12 @@
         for node in self.world.nodes:
             eventually(node.ready, 10, f"{node.name} ready")
 
+    def exchange_software(self):
+        """One server of each version comes back under its id with the other one, at once."""
+        for engine in [self.engines_of(OLD)[0], self.engines_of(NEW)[0]]:
+            engine.stop()
+            engine.become(engine.name, NEW if engine.software == OLD else OLD)
+
     def leave(self, software):
         for engine in self.engines_of(software):
             engine.leave()
@@ -134,6 +140,12 @@
             node.start()
         self.check_texts()
 
+    def test_items_of_servers_that_come_back_with_other_software_are_not_joined(self):
+        self.submit()
+        time.sleep(0.6)
+        self.exchange_software()
+        self.check_texts()
+
     def test_items_that_come_again_go_on_at_their_version(self):
         self.submit("b1")
         time.sleep(0.8)
@@ -201,6 +213,12 @@
         clients = self.begin(at_least=0.5)
         self.check_not_lost(clients, self.take_up(clients))
 
+    def test_take_up_right_after_a_server_came_back_with_other_software(self):
+        clients = self.begin()
+        self.exchange_software()
+        # Machines read the list of servers each 0.4 s.
+        self.check_not_lost(clients, self.take_up(clients))
+
     def test_take_up_after_the_loss_of_all_machines(self):
         clients = self.begin()
         self.restart_all()
