Soak engines that come back under their id with other software

A crashed engine was always replaced under another id after a while, which cannot show a machine that acts on an old record. Half of the replacements come back at once under the same id now.

--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -319,14 +319,18 @@
             self.world.note_versions()
 
     def replace(self, fault: Fault) -> None:
-        """An engine crashes, and another process with the other software version takes its place."""
+        """An engine crashes, and another process with the other software version takes its place: under another id
+        after a while, or under the same one at once."""
         engine = self.world.engines[fault.target % len(self.world.engines)]
         with self.locks[engine.label]:
             engine.stop()
             self.world.note_versions()
-            time.sleep(fault.seconds)
-            engine.leave()
-            engine.become(f"{engine.label}-{time.monotonic_ns()}", other_software(engine.software))
+            if fault.strength < 0.5:
+                engine.become(engine.name, other_software(engine.software))
+            else:
+                time.sleep(fault.seconds)
+                engine.leave()
+                engine.become(f"{engine.label}-{time.monotonic_ns()}", other_software(engine.software))
             self.world.note_versions()
 
     def server_slow(self, fault: Fault) -> None:
