--- a/src/app/node/membership.cpp
+++ b/src/app/node/membership.cpp
@@ -49,7 +49,7 @@
     , m_follower(
           context, store, { { MEMBER_TOPIC, 0 }, base::Duration(0), READ_PAUSE },
           { [this](const journal::KeyedRecord &record, base::TimePoint now) { hear(record, now); },
-            [](const std::set<std::string> &, base::TimePoint) {} })
+            [](const std::set<std::string> &, std::uint64_t, base::TimePoint) {} })
     , m_timer(context)
 { }
 
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -73,21 +73,22 @@
     , m_duties(m_settings.cloudEndpoint, m_settings.node, m_fencedCalls)
     , m_servers({})
     , m_routing(nullptr)
-    , m_operatorFollower(
-          m_runtime.context(), m_store, { { platform::OPERATOR_TOPIC, 0 }, LONG_POLL },
+    , m_operatorFollower(m_runtime.context(), m_store,
+                         { { platform::OPERATOR_TOPIC, 0 }, LONG_POLL },
+                         { [this](const journal::KeyedRecord &record, base::TimePoint now) {
+                              applyOperatorRecord(record, now);
+                          },
+                           [this](const std::set<std::string> &keys, std::uint64_t end,
+                                  base::TimePoint) { endEvacuations(keys, end); } })
+    , m_serverFollower(
+          m_runtime.context(), m_store,
+          { { platform::SERVER_TOPIC, 0 }, base::Duration(0), SERVER_READ_PAUSE },
           { [this](const journal::KeyedRecord &record, base::TimePoint now) {
-               applyOperatorRecord(record, now);
+               applyServerRecord(record, now);
            },
-            [this](const std::set<std::string> &, base::TimePoint) { m_conductor.wake(); } })
-    , m_serverFollower(m_runtime.context(), m_store,
-                       { { platform::SERVER_TOPIC, 0 }, base::Duration(0), SERVER_READ_PAUSE },
-                       { [this](const journal::KeyedRecord &record, base::TimePoint now) {
-                            applyServerRecord(record, now);
-                        },
-                         [this](const std::set<std::string> &keys, base::TimePoint now) {
-                             m_servers.retain(keys, m_serverFollower.reachability().recoveredAt(),
-                                              now);
-                         } })
+            [this](const std::set<std::string> &keys, std::uint64_t, base::TimePoint now) {
+                m_servers.retain(keys, m_serverFollower.reachability().recoveredAt(), now);
+            } })
     , m_batches(m_runtime.context(), m_store, m_incarnation, m_metrics)
     , m_membership(m_runtime.context(), m_store, m_settings, m_incarnation, m_trueTime, m_suspects,
                    m_health.limits())
@@ -222,7 +223,7 @@
         applyConfiguration(record);
         return;
     case platform::OperatorRecordKind::ZoneEvacuation:
-        applyZoneOut(record);
+        applyEvacuation(record);
         return;
     case platform::OperatorRecordKind::WeightVersion: {
         const auto named = platform::readAnnouncedWeightVersion(record);
@@ -270,16 +271,31 @@
     m_conductor.wake();
 }
 
-auto Node::applyZoneOut(const journal::KeyedRecord &record) -> void
+auto Node::applyEvacuation(const journal::KeyedRecord &record) -> void
 {
     const auto zone = platform::evacuatedZoneFromKey(record.key);
-    const auto out = !record.value.empty();
-    const auto changed = out ? m_zonesOut.insert(zone).second : m_zonesOut.erase(zone) > 0;
-    if (!changed)
+    const auto evacuated = !record.value.empty();
+    if (!m_evacuatedZones.apply(zone, evacuated, record.offset))
         return;
     logging::info("zone.changed",
-                  { { "zone", zone }, { "out", out }, { "offset", record.offset } });
-    m_servers.setZonesOut(m_zonesOut);
+                  { { "zone", zone }, { "out", evacuated }, { "offset", record.offset } });
+    m_servers.setZonesOut(m_evacuatedZones.zones());
+    m_conductor.wake();
+}
+
+//! Ends the evacuations whose record is not among the \a keys of a snapshot that was taken when the
+//! log ended at offset \a end.
+auto Node::endEvacuations(const std::set<std::string> &keys, std::uint64_t end) -> void
+{
+    auto recorded = std::set<std::string>();
+    for (const auto &key : keys) {
+        if (platform::kindOfOperatorKey(key) == platform::OperatorRecordKind::ZoneEvacuation)
+            recorded.insert(platform::evacuatedZoneFromKey(key));
+    }
+    for (const auto &zone : m_evacuatedZones.retain(recorded, end))
+        logging::info("zone.changed",
+                      { { "zone", zone }, { "out", false }, { "snapshot_end", end } });
+    m_servers.setZonesOut(m_evacuatedZones.zones());
     m_conductor.wake();
 }
 
@@ -324,8 +340,12 @@
     const auto snapshot = co_await m_store.newest(platform::OPERATOR_TOPIC);
     const auto now = process::clock::now();
     if (snapshot.ok()) {
-        for (const auto &record : snapshot->records)
+        auto keys = std::set<std::string>();
+        for (const auto &record : snapshot->records) {
+            keys.insert(record.key);
             applyOperatorRecord(record, now);
+        }
+        endEvacuations(keys, snapshot->end);
     }
     m_resuming = false;
 }
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -16,6 +16,7 @@
 #include "platform/serverprotocol.h"
 #include "platform/storeclient.h"
 #include "process/runtime/runtime.h"
+#include "process/servers/evacuatedzones.h"
 #include "process/snapshot/rcucell.h"
 
 namespace nutmegplank::app::node {
@@ -38,7 +39,8 @@
     auto applyOperatorRecord(const version::journal::KeyedRecord &record, base::TimePoint now)
         -> void;
     auto applyConfiguration(const version::journal::KeyedRecord &record) -> void;
-    auto applyZoneOut(const version::journal::KeyedRecord &record) -> void;
+    auto applyEvacuation(const version::journal::KeyedRecord &record) -> void;
+    auto endEvacuations(const std::set<std::string> &keys, std::uint64_t end) -> void;
     auto applyServerRecord(const version::journal::KeyedRecord &record, base::TimePoint now)
         -> void;
     auto isReady() const -> bool;
@@ -72,7 +74,7 @@
     request::forward::PoisonRequestDetector m_suspects;
     process::snapshot::RcuCell<version::routing::RoutingTable> m_routing;
     std::map<std::string, std::uint64_t> m_namedVersions;
-    std::set<std::string> m_zonesOut;
+    process::servers::EvacuatedZones m_evacuatedZones;
     std::set<std::string> m_badRecords; //!< Already logged, as "key@offset".
     version::journal::KeyedFollower m_operatorFollower;
     version::journal::KeyedFollower m_serverFollower;
--- a/src/version/journal/follower.cpp
+++ b/src/version/journal/follower.cpp
@@ -149,7 +149,7 @@
     m_position = snapshot->end;
     m_complete = true;
     m_currentAsOf = sentAt;
-    m_hooks.onSnapshot(keys, now);
+    m_hooks.onSnapshot(keys, snapshot->end, now);
     co_return true;
 }
 
--- a/src/version/journal/follower.h
+++ b/src/version/journal/follower.h
@@ -65,8 +65,10 @@
 struct KeyedFollowerHooks
 {
     std::function<void(const KeyedRecord &record, base::TimePoint now)> onRecord;
-    //! A snapshot was read; keys that are not in \a keys no longer exist.
-    std::function<void(const std::set<std::string> &keys, base::TimePoint now)> onSnapshot;
+    //! A snapshot was read and its records were passed to onRecord. Keys that are not in \a keys no
+    //! longer existed when the log ended at offset \a end.
+    std::function<void(const std::set<std::string> &keys, std::uint64_t end, base::TimePoint now)>
+        onSnapshot;
 };
 
 //! Follows a topic where only the newest record of each key matters: reads a snapshot, then new
--- a/src/version/journal/tests/follower_tests.cpp
+++ b/src/version/journal/tests/follower_tests.cpp
@@ -79,12 +79,13 @@
     auto journal = FakeJournal();
     journal.records = { "bad", "two" };
     auto seen = std::vector<std::string>();
-    auto follower = KeyedFollower(context, journal, { PARTITION, base::Duration(0), PAUSE },
-                                  { [&](const KeyedRecord &record, base::TimePoint) {
-                                       throwOnBad(record.value);
-                                       seen.push_back(record.value);
-                                   },
-                                    [](const std::set<std::string> &, base::TimePoint) {} });
+    auto follower =
+        KeyedFollower(context, journal, { PARTITION, base::Duration(0), PAUSE },
+                      { [&](const KeyedRecord &record, base::TimePoint) {
+                           throwOnBad(record.value);
+                           seen.push_back(record.value);
+                       },
+                        [](const std::set<std::string> &, std::uint64_t, base::TimePoint) {} });
     follower.start();
     context.run_for(20ms);
     EXPECT_EQ(seen, std::vector<std::string> { "two" });
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -307,6 +307,20 @@
             call.join(5)
         self.assertEqual(statuses, [401] * 6)
 
+    def test_evacuation_taken_back_in_a_gap_of_the_history_ends(self):
+        """The removal of the operator's record was compacted away before any machine read it."""
+        store = self.world.store
+        store.put("keyed.op", "evacuate/a", {})
+        for node in self.world.nodes:
+            eventually(lambda: node.call("POST", "/orders/1")[0] == 503, CONFIGURATION_BOUND, "the zone is out")
+        store.muted_topics.add("keyed.op")
+        store.put("keyed.op", "evacuate/a", None)
+        time.sleep(0.5)
+        store.forget_history("keyed.op")
+        store.muted_topics.clear()
+        for node in self.world.nodes:
+            eventually(lambda: node.call("POST", "/orders/1")[0] == 200, CONFIGURATION_BOUND, "the zone is back")
+
     def test_unreadable_configuration_changes_nothing(self):
         self.world.store.put("keyed.op", "config", {"version": 99})
         time.sleep(0.5)
--- a/tests/platformworld/store.py
+++ b/tests/platformworld/store.py
@@ -94,6 +94,8 @@
         self.mode = "up"
         #: Partitions (topic, number) that say nothing while the others answer.
         self.silent_partitions: set[tuple[str, int]] = set()
+        #: Topics whose reads hear of nothing; those reads are cut once the topic is no longer in the set.
+        self.muted_topics: set[str] = set()
         self.lose_answers = self.late_appends = 0
         self.late_by = 1.0
         self.slow = 0.0
@@ -140,7 +142,12 @@
         if request.path == "/v1/log-append":
             return Answer(403) if topic in FOREIGN_TOPICS else self.append(partition, request)
         if request.path == "/v1/log-read":
-            return await self.read(partition, request)
+            answer = await self.read(partition, request)
+            if topic in self.muted_topics:
+                while topic in self.muted_topics:
+                    await asyncio.sleep(0.01)
+                raise Reset
+            return answer
         if request.path == "/v1/log-newest":
             return self.newest(partition, request.query.get("after", ""))
         if request.path == "/v1/log-trim":
