--- a/src/app/node/membership.cpp
+++ b/src/app/node/membership.cpp
@@ -119,7 +119,9 @@
                                 { { "key", keyed.key }, { "offset", keyed.offset } });
         return;
     }
-    const auto fresh = m_follower.complete();
+    // A snapshot, also the one after a gap, holds the last heartbeat of machines that are long
+    // gone.
+    const auto fresh = !m_follower.isReadingSnapshot();
     auto age = base::Duration(0);
     if (!fresh) {
         const auto told =
--- a/src/version/journal/follower.cpp
+++ b/src/version/journal/follower.cpp
@@ -142,10 +142,12 @@
     }
     m_reachability.noteAnswer(now);
     auto keys = std::set<std::string>();
+    m_readingSnapshot = true;
     for (const auto &record : snapshot->records) {
         keys.insert(record.key);
         deliver(m_hooks.onRecord, record, m_options.partition, now);
     }
+    m_readingSnapshot = false;
     m_position = snapshot->end;
     m_complete = true;
     m_currentAsOf = sentAt;
--- a/src/version/journal/follower.h
+++ b/src/version/journal/follower.h
@@ -83,6 +83,9 @@
     auto reachability() const -> const Reachability & { return m_reachability; }
     //! Whether a snapshot has been read since the start.
     auto complete() const -> bool { return m_complete; }
+    //! Whether the record that is passed to onRecord comes from a snapshot, so that it can be of
+    //! any age.
+    auto isReadingSnapshot() const -> bool { return m_readingSnapshot; }
     //! Everything that was in the log at this time has been read.
     auto currentAsOf() const -> base::TimePoint { return m_currentAsOf; }
     //! Begins a read now, or after the one that is in progress, instead of after the pause.
@@ -105,6 +108,7 @@
     bool m_pausing = false;
     bool m_skipPause = false;
     bool m_complete = false;
+    bool m_readingSnapshot = false;
 };
 
 } // namespace nutmegplank::version::journal
--- a/src/version/journal/tests/follower_tests.cpp
+++ b/src/version/journal/tests/follower_tests.cpp
@@ -29,6 +29,11 @@
         -> asio::awaitable<absl::StatusOr<Page>> override
     {
         auto page = Page();
+        if (from < first) {
+            page.first = first;
+            page.compacted = true;
+            co_return page;
+        }
         for (auto offset = from; offset < records.size(); ++offset)
             page.records.push_back({ offset, records[offset] });
         page.end = records.size();
@@ -45,6 +50,7 @@
     auto limits() const -> AppendLimits override { return {}; }
 
     std::vector<std::string> records;
+    std::uint64_t first = 0; //!< Records before this offset are compacted away.
 };
 
 auto throwOnBad(const std::string &text) -> void
@@ -92,6 +98,36 @@
     EXPECT_TRUE(follower.complete());
 }
 
+//! After a gap the last heartbeats of machines that were gone for long counted as new ones.
+TEST(Follower, Follower_SnapshotAfterAGap_IsToldFromNewRecords)
+{
+    auto context = asio::io_context();
+    auto journal = FakeJournal();
+    journal.records = { "one" };
+    auto old = std::vector<bool>();
+    auto snapshotEnds = std::vector<std::uint64_t>();
+    const KeyedFollower *reader = nullptr;
+    auto follower = KeyedFollower(
+        context, journal, { PARTITION, base::Duration(0), PAUSE },
+        { [&](const KeyedRecord &, base::TimePoint) { old.push_back(reader->isReadingSnapshot()); },
+          [&](const std::set<std::string> &keys, std::uint64_t end, base::TimePoint) {
+              EXPECT_EQ(keys.size(), end);
+              snapshotEnds.push_back(end);
+          } });
+    reader = &follower;
+    follower.start();
+    context.run_for(20ms);
+    journal.records.emplace_back("\x01k2");
+    follower.readNow();
+    context.run_for(20ms);
+    journal.records.emplace_back("three");
+    journal.first = 3;
+    follower.readNow();
+    context.run_for(20ms);
+    EXPECT_EQ(old, (std::vector<bool> { true, false, true, true, true }));
+    EXPECT_EQ(snapshotEnds, (std::vector<std::uint64_t> { 1, 3 }));
+}
+
 //! A closed usage window is read back right after it was written, not after the pause.
 TEST(Follower, Follower_ReadNow_EndsThePause)
 {
