Run items again whose events are not UTF-8

The reader of event streams checked an event's form and not its data, and boost::json writes strings as they are.

Such an event now makes the run malformed, its text is dropped and the item runs again at another engine; the log line of the run names the reason. Texts that former versions of the program stored are not resumed, and what they listed is sent with U+FFFD for the invalid bytes. Refusals, which repeat the caller's request id, are treated in the same way.

--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -8,6 +8,7 @@
 #include "base/base64.h"
 #include "base/status.h"
 #include "base/text.h"
+#include "base/utf8.h"
 #include "connection/backend/cleanheaders.h"
 #include "platform/jsonfields.h"
 #include "platform/wireheaders.h"
@@ -196,10 +197,12 @@
         auto entry = json::object();
         entry["id"] = result.itemId;
         entry["state"] = result.lost ? "lost" : "completed";
-        entry["text"] = result.text;
+        // Former versions of this program listed texts that are not UTF-8; one of them must not
+        // make the whole page unreadable.
+        entry["text"] = base::replaceInvalidUtf8(std::move(result.text));
         entry["versions"] = json::array(result.versions.begin(), result.versions.end());
         if (!result.score.empty())
-            entry["score"] = result.score;
+            entry["score"] = base::replaceInvalidUtf8(std::move(result.score));
         list.push_back(std::move(entry));
     }
     auto body = json::object();
@@ -220,8 +223,8 @@
 {
     auto error = json::object();
     error["code"] = base::nameOf(request::call::REFUSAL_CODE_NAMES, refusal.code);
-    error["message"] = refusal.detail;
-    error["request"] = requestId;
+    error["message"] = base::replaceInvalidUtf8(refusal.detail);
+    error["request"] = base::replaceInvalidUtf8(requestId);
     auto body = json::object();
     body["error"] = std::move(error);
     auto response = http::jsonResponse(httpStatusFor(refusal.code), json::serialize(body));
--- a/src/platform/tests/callprotocol_tests.cpp
+++ b/src/platform/tests/callprotocol_tests.cpp
@@ -1,3 +1,4 @@
+#include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 #include "platform/callprotocol.h"
@@ -79,6 +80,26 @@
     EXPECT_EQ(unscored.body.find("score"), std::string::npos);
 }
 
+//! One text that is not UTF-8 made every page that held it unreadable for callers.
+TEST(CallProtocol, CallProtocol_StoredTextThatIsNotUtf8_LeavesThePageReadable)
+{
+    const auto page = CallProtocol().writeResults(
+        2, 0, { { 0, "i1", false, "a\x80z", { 2 }, "\xFF" }, { 1, "i2", false, "sound", { 2 } } });
+    const auto body = boost::json::parse(page.body);
+    const auto &results = body.at("results").as_array();
+    EXPECT_EQ(results.at(0).at("text").as_string(), "a\xEF\xBF\xBDz");
+    EXPECT_EQ(results.at(1).at("text").as_string(), "sound");
+}
+
+TEST(CallProtocol, CallProtocol_RefusalOfARequestIdThatIsNotUtf8_IsJson)
+{
+    const auto response = CallProtocol().writeRefusal(
+        { request::call::RefusalCode::NoServer, "all are busy", 60ms }, "r\xff\xfe");
+    auto error = boost::json::error_code();
+    boost::json::parse(response.body, error);
+    EXPECT_FALSE(error) << response.body;
+}
+
 TEST(CallProtocol, CallProtocol_MalformedSubmission_IsRejectedAsAWhole)
 {
     const auto protocol = CallProtocol();
--- a/src/request/rollout/eventreader.cpp
+++ b/src/request/rollout/eventreader.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "base/utf8.h"
+
 namespace nutmegplank::request::rollout {
 
 namespace {
@@ -41,18 +43,31 @@
         m_eventBytes = 0;
         if (!m_inEvent)
             continue;
-        if (!m_hasId)
+        if (!isComplete())
             return std::nullopt;
         events.push_back(std::move(m_event));
         m_event = {};
         m_inEvent = m_hasId = m_hasData = false;
     }
     m_pendingBytes.erase(0, begin);
-    if (m_pendingBytes.size() + m_eventBytes > MAX_EVENT_BYTES)
+    if (m_pendingBytes.size() + m_eventBytes > MAX_EVENT_BYTES) {
+        m_problem = "an event is too large";
         return std::nullopt;
+    }
     return events;
 }
 
+//! Whether the event whose terminating blank line was read can be used.
+auto EventReader::isComplete() -> bool
+{
+    if (!m_hasId)
+        m_problem = "an event has no id";
+    // text/event-stream is UTF-8, and callers get the data as JSON.
+    else if (!base::isUtf8(m_event.data))
+        m_problem = "the data of an event is not UTF-8";
+    return m_problem.empty();
+}
+
 auto EventReader::parseLine(std::string_view line) -> bool
 {
     const auto colon = line.find(':');
@@ -74,10 +89,14 @@
         const auto id = parseNumber(value);
         m_event.id = id.value_or(0);
         m_hasId = id.has_value();
+        if (!m_hasId)
+            m_problem = "the id of an event is not a number";
         return m_hasId;
     }
     if (name == m_versionField) {
         m_event.weightVersion = parseNumber(value);
+        if (!m_event.weightVersion.has_value())
+            m_problem = "the weight version of an event is not a number";
         return m_event.weightVersion.has_value();
     }
     return true;
--- a/src/request/rollout/eventreader.h
+++ b/src/request/rollout/eventreader.h
@@ -31,11 +31,15 @@
     auto feed(std::string_view bytes) -> std::optional<std::vector<Event>>;
     //! Whether all bytes read so far belong to complete events.
     auto atBoundary() const -> bool { return m_pendingBytes.empty() && !m_inEvent; }
+    //! Why the stream is malformed; empty as long as it is not.
+    auto problem() const -> std::string_view { return m_problem; }
 
 private:
     auto parseLine(std::string_view line) -> bool;
+    auto isComplete() -> bool;
 
     std::string m_versionField;
+    std::string_view m_problem;
     std::size_t m_eventBytes = 0; //!< Bytes of the lines of m_event.
     std::string m_pendingBytes;   //!< Start of a line whose end has not been read.
     Event m_event;
--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -127,7 +127,9 @@
             break;
         const auto events = reader.feed(**part);
         if (!events.has_value())
-            co_return RunOutcome { RunEnd::Malformed, STATUS_OK, "invalid event stream", {} };
+            co_return RunOutcome {
+                RunEnd::Malformed, STATUS_OK, std::string(reader.problem()), {}
+            };
         const auto failure = appendEvents(*events);
         if (failure.has_value())
             co_return *failure;
--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -1,5 +1,6 @@
 #include "request/rollout/openbatch.h"
 
+#include "base/utf8.h"
 #include "request/rollout/outputestimate.h"
 
 namespace nutmegplank::request::rollout {
@@ -59,6 +60,9 @@
         // No engine may resume a text if it is not known where the text began.
         if (saved.software.empty() && !saved.complete)
             continue;
+        // Former versions of this program stored texts that no caller can read.
+        if (!base::isUtf8(saved.text))
+            continue;
         item.transcript->restore(saved.lastEvent, saved.events, saved.text, saved.versions,
                                  saved.software);
         item.savedEvents = saved.events;
--- a/src/request/rollout/tests/eventreader_tests.cpp
+++ b/src/request/rollout/tests/eventreader_tests.cpp
@@ -46,6 +46,26 @@
     EXPECT_FALSE(reader.feed("data: one\n\n").has_value());
 }
 
+//! Callers could not read any result of a batch in which one event held bytes that are not UTF-8.
+TEST(EventReader, EventReader_DataThatIsNotUtf8_IsMalformed)
+{
+    for (const auto *data : { "\x80\x81", "half a character: \xE2\x82", "\xED\xA0\x80" }) {
+        auto reader = EventReader("x-weight-versions");
+        ASSERT_TRUE(reader.feed("id: 1\ndata: sound\n\n").has_value());
+        EXPECT_FALSE(reader.feed(std::string("id: 2\ndata: ") + data + "\n\n").has_value());
+        EXPECT_EQ(reader.problem(), "the data of an event is not UTF-8");
+    }
+}
+
+TEST(EventReader, EventReader_CharacterSplitBetweenReads_IsAccepted)
+{
+    auto reader = EventReader("x-weight-versions");
+    ASSERT_TRUE(reader.feed("id: 1\ndata: \xE2\x82").has_value());
+    const auto events = reader.feed("\xAC\n\n");
+    ASSERT_TRUE(events.has_value());
+    EXPECT_EQ(events->front().data, "\xE2\x82\xAC");
+}
+
 //! An engine in trouble sends bytes without end: one line, one event of many lines, or many fields.
 TEST(EventReader, EventReader_EventWithoutEnd_IsMalformedAtALimit)
 {
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -189,6 +189,15 @@
         self.assertEqual(len([start for start in starts if start == 0]), 6)
         self.assertEqual(len([start for start in starts if start >= 2]), 6)
 
+    def test_items_whose_events_are_not_utf8_run_again(self):
+        """One such event made the whole batch unreadable at all machines."""
+        for engine in self.world.engines:
+            engine.garble_next = 3
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 40), 202)
+        for node in self.world.nodes:
+            self.check_results(self.world.wait_results(node, "b1", 40), 40)
+        self.assertEqual([engine.garble_next for engine in self.world.engines], [0, 0, 0])
+
     def test_failing_item_is_given_up_after_its_attempts(self):
         for engine in self.world.engines:
             engine.fail_next = 100
--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -156,6 +156,7 @@
         self.fail_next, self.running = 0, 0
         self.crash_next = 0  #: So many runs end with a reset before their next event.
         self.lose_next = 0  #: So many requests get a reset in place of a response.
+        self.garble_next = 0  #: The data of so many events is not UTF-8.
         self.last_event_at: dict[str, float] = {}  #: By item.
         self.failures: collections.Counter = collections.Counter()  #: By request.
         self.checks_fences = True
@@ -213,8 +214,11 @@
                 change = f"x-weight-versions: {self.version}\n" if self.version != version else ""
                 version = self.version
                 self.last_event_at[item] = time.monotonic()
-                data = EventData(item, number, self.software, version)
-                yield f"{change}id: {number}\ndata: {data}\n\n".encode()
+                data = str(EventData(item, number, self.software, version)).encode()
+                if self.garble_next > 0 and number > 1:
+                    self.garble_next -= 1
+                    data = bytes(range(0x80, 0x98))
+                yield f"{change}id: {number}\ndata: ".encode() + data + b"\n\n"
         finally:
             self.running -= 1
 
