Resume streams only from a log that was read to its end

While the log cannot be read only streams that the machine itself recorded are known; others are refused with a time to come back. Whether a service had one version is now taken from every server record and not from a look each 2 s, and a gap in the history counts as another version.

--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -87,6 +87,7 @@
                applyServerRecord(record, now);
            },
             [this](const std::set<std::string> &keys, std::uint64_t, base::TimePoint now) {
+                m_streamOrigins.noteServerGap();
                 m_servers.retain(keys, m_serverFollower.reachability().recoveredAt(), now);
             } })
     , m_batches(m_runtime.context(), m_store, m_incarnation, m_metrics)
@@ -302,6 +303,9 @@
 auto Node::applyServerRecord(const journal::KeyedRecord &record, base::TimePoint now) -> void
 {
     if (record.value.empty()) {
+        const auto *leaving = m_servers.find(record.key);
+        if (leaving != nullptr)
+            m_streamOrigins.noteServer(leaving->record.service, leaving->record.software);
         m_servers.remove(record.key, m_serverFollower.reachability().recoveredAt(), now);
         return;
     }
@@ -319,6 +323,7 @@
         m_health.limits().forget(id, now);
     for (const auto &[model, version] : server->modelVersion)
         m_engines.noteVersion(id, incarnation, model, version);
+    m_streamOrigins.noteServer(server->service, server->software);
     m_servers.update(std::move(*server), record.offset, now);
 }
 
--- a/src/app/node/streamorigins.cpp
+++ b/src/app/node/streamorigins.cpp
@@ -19,6 +19,7 @@
 namespace logging = process::logging;
 using process::clock::pauseFor;
 using version::streamorigin::LogView;
+using version::streamorigin::RecordSource;
 using version::streamorigin::StreamOrigin;
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
@@ -60,6 +61,16 @@
     return versions;
 }
 
+auto StreamOrigins::noteServer(const std::string &service, const std::string &software) -> void
+{
+    m_planner.observeServer(service, software, m_log.baselines(), process::clock::now());
+}
+
+auto StreamOrigins::noteServerGap() -> void
+{
+    m_planner.noteGap(process::clock::now());
+}
+
 auto StreamOrigins::baselineLoop() -> asio::awaitable<void>
 {
     while (true) {
@@ -166,7 +177,7 @@
         for (const auto &pending : batch) {
             pending->written = written;
             if (written)
-                m_log.apply(pending->origin, now);
+                m_log.apply(pending->origin, RecordSource::OwnWrite, now);
             pending->wake.cancel();
         }
     }
@@ -232,7 +243,7 @@
         for (const auto &record : page->records) {
             const auto origin = version::streamorigin::decodeOrigin(record.data);
             if (origin.has_value())
-                m_log.apply(*origin, now);
+                m_log.apply(*origin, RecordSource::Log, now);
             else
                 logging::error("streams.malformed_origin", { { "offset", record.offset } });
             m_position = record.offset + 1;
--- a/src/app/node/streamorigins.h
+++ b/src/app/node/streamorigins.h
@@ -35,6 +35,10 @@
     //! Starts to follow the baselines. Not called where no route has streams that can be resumed,
     //! so that nothing is read there.
     auto start() -> void;
+    //! A server came into service, wrote its record again, or left.
+    auto noteServer(const std::string &service, const std::string &software) -> void;
+    //! The history of the list of servers was lost up to now.
+    auto noteServerGap() -> void;
 
     auto mustRecord(const std::string &service, const std::string &software) const -> bool override;
     auto canRecord() const -> bool override;
--- a/src/version/streamorigin/baselineplanner.cpp
+++ b/src/version/streamorigin/baselineplanner.cpp
@@ -27,21 +27,40 @@
 auto BaselinePlanner::observe(const VersionsByService &versions,
                               const BaselinesByService &baselines, base::TimePoint now) -> void
 {
-    const auto start = Seen { m_startedAt, m_startedAt, m_startedAt };
     for (const auto &[service, list] : versions) {
         const auto baseline = baselines.find(service);
-        auto &seen = m_seen.try_emplace(service, start).first->second;
         if (baseline == baselines.end() || !baseline->second.closing)
-            seen.openAt = now;
-        for (const auto &version : list) {
-            if (baseline != baselines.end() && version == baseline->second.software)
-                seen.baselineAt = now;
-            else
-                seen.otherAt = now;
-        }
+            seenOf(service).openAt = now;
+        for (const auto &version : list)
+            observeServer(service, version, baselines, now);
     }
 }
 
+auto BaselinePlanner::observeServer(const std::string &service, const std::string &software,
+                                    const BaselinesByService &baselines, base::TimePoint now)
+    -> void
+{
+    const auto baseline = baselines.find(service);
+    auto &seen = seenOf(service);
+    if (baseline != baselines.end() && software == baseline->second.software)
+        seen.baselineAt = now;
+    else
+        seen.otherAt = now;
+}
+
+auto BaselinePlanner::noteGap(base::TimePoint now) -> void
+{
+    m_startedAt = now;
+    for (auto &[service, seen] : m_seen)
+        seen.otherAt = now;
+}
+
+auto BaselinePlanner::seenOf(const std::string &service) -> Seen &
+{
+    const auto start = Seen { m_startedAt, m_startedAt, m_startedAt };
+    return m_seen.try_emplace(service, start).first->second;
+}
+
 auto BaselinePlanner::plan(const VersionsByService &versions, const BaselinesByService &baselines,
                            base::TimePoint now) const -> BaselinesByService
 {
--- a/src/version/streamorigin/baselineplanner.h
+++ b/src/version/streamorigin/baselineplanner.h
@@ -25,6 +25,11 @@
     //! \a baselines: as in the log now.
     auto observe(const VersionsByService &versions, const BaselinesByService &baselines,
                  base::TimePoint now) -> void;
+    //! A server of \a service with \a software came into service or left it.
+    auto observeServer(const std::string &service, const std::string &software,
+                       const BaselinesByService &baselines, base::TimePoint now) -> void;
+    //! Servers may have come and gone unseen until now, because history was lost.
+    auto noteGap(base::TimePoint now) -> void;
     //! Baselines to write now.
     auto plan(const VersionsByService &versions, const BaselinesByService &baselines,
               base::TimePoint now) const -> BaselinesByService;
@@ -39,7 +44,9 @@
         base::TimePoint openAt {};     //!< The baseline was not closing.
     };
 
-    base::TimePoint m_startedAt;
+    auto seenOf(const std::string &service) -> Seen &;
+
+    base::TimePoint m_startedAt;        //!< All servers have been seen since.
     std::map<std::string, Seen> m_seen; //!< By service.
 };
 
--- a/src/version/streamorigin/originlog.cpp
+++ b/src/version/streamorigin/originlog.cpp
@@ -9,9 +9,14 @@
 
 } // namespace
 
-auto OriginLog::apply(const StreamOrigin &origin, base::TimePoint now) -> void
+auto OriginLog::apply(const StreamOrigin &origin, RecordSource source, base::TimePoint now) -> void
 {
-    m_origins[origin.requestId] = { origin, now };
+    const auto known = m_origins.find(origin.requestId);
+    const auto isOwn = known != m_origins.end() && known->second.source == RecordSource::OwnWrite;
+    // Reading back an earlier record of the same request must not replace the last one.
+    if (isOwn && source == RecordSource::Log)
+        return;
+    m_origins[origin.requestId] = { origin, source, now };
     m_readOrder.emplace_back(now, origin.requestId);
     expire(now);
 }
@@ -36,6 +41,8 @@
 {
     const auto found = m_origins.find(requestId);
     if (found != m_origins.end() && !requestId.empty()) {
+        if (view == LogView::Stale && found->second.source != RecordSource::OwnWrite)
+            return std::nullopt;
         const auto &origin = found->second.origin;
         if (origin.software.empty() || origin.service != service)
             return std::nullopt;
@@ -44,8 +51,8 @@
     const auto baseline = m_baselines.find(service);
     if (baseline == m_baselines.end())
         return std::nullopt;
-    const auto hasNoRecord = !requestId.empty() && view == LogView::Complete;
-    if (!hasNoRecord && !onlyBaseline)
+    const auto beganAtBaseline = !requestId.empty() || onlyBaseline;
+    if (view == LogView::Stale || !beganAtBaseline)
         return std::nullopt;
     return baseline->second.software;
 }
--- a/src/version/streamorigin/originlog.h
+++ b/src/version/streamorigin/originlog.h
@@ -15,12 +15,18 @@
     Stale,
 };
 
+//! Where a record was learned of.
+enum class RecordSource {
+    Log,
+    OwnWrite, //!< This machine wrote it. No other machine replaces the record of a request.
+};
+
 //! The origins and baselines that this machine has read. Not thread-safe.
 class OriginLog
 {
 public:
-    //! A record was read, or was written by this machine. The last one of a request counts.
-    auto apply(const StreamOrigin &origin, base::TimePoint now) -> void;
+    //! The last record of a request counts.
+    auto apply(const StreamOrigin &origin, RecordSource source, base::TimePoint now) -> void;
     auto setBaseline(const std::string &service, const Baseline &baseline) -> void;
     //! The baselines were read completely.
     auto noteBaselinesRead(base::TimePoint now) -> void { m_baselinesReadAt = now; }
@@ -29,9 +35,11 @@
     //! Whether a stream that begins at \a software must be recorded.
     auto mustRecord(const std::string &service, const std::string &software,
                     base::TimePoint now) const -> bool;
-    //! Software version that began the stream of the request; nothing if that is not known.
-    //! \a onlyBaseline: no server of another version has been seen for as long as callers take
-    //! streams up. \a requestId is empty if the caller did not name it.
+    //! Software version that began the stream of the request; nothing if that is not known. While
+    //! the view is stale only streams that began at this machine are known: other machines may have
+    //! begun streams at versions that this one has not heard of. \a onlyBaseline: no server of
+    //! another version has been in service for as long as callers take streams up. \a requestId is
+    //! empty if the caller did not name it.
     auto find(const std::string &service, const std::string &requestId, LogView view,
               bool onlyBaseline) const -> std::optional<std::string>;
 
@@ -43,6 +51,7 @@
     struct Entry
     {
         StreamOrigin origin;
+        RecordSource source = RecordSource::Log;
         base::TimePoint readAt {};
     };
 
