Refuse server entries with ids or slots out of range

Other operators saw machines end, or stop following, when another writer left one odd entry among the servers: nested very deeply, with a number too large, or with a port out of range.

Two gaps showed on the way. slots above 32 bits were cut to their low part, and an id with control characters would have become a header line of requests. The key that continues a list of newest records is encoded, and an empty page that claims to have a successor is an error: such a list was read without end.

--- a/src/platform/serverrecords.cpp
+++ b/src/platform/serverrecords.cpp
@@ -1,5 +1,7 @@
 #include "platform/serverrecords.h"
 
+#include <algorithm>
+
 #include "base/status.h"
 #include "base/text.h"
 #include "platform/jsonfields.h"
@@ -20,6 +22,16 @@
 //! No server is cold for longer; larger numbers are malformed and would overflow.
 constexpr auto MAX_COLD_MS = std::uint64_t(3'600'000);
 
+//! More than any server has; larger numbers are malformed.
+constexpr auto MAX_SLOTS = std::uint64_t(1'000'000);
+
+//! Ids are sent as header values.
+auto isId(std::string_view text) -> bool
+{
+    return !text.empty()
+        && std::ranges::all_of(text, [](char byte) { return byte > ' ' && byte < '\x7f'; });
+}
+
 //! "version" of a server's record is that of its software; weights have theirs under "models".
 auto readSoftware(const boost::json::object &object) -> std::string
 {
@@ -51,6 +63,8 @@
                                base::concat(what, " at offset ", keyed.offset),
                                { "server.read", keyed.key });
     };
+    if (!isId(keyed.key))
+        return recordError("the id is not visible ASCII");
     const auto object = parseObject(keyed.value);
     if (!object.has_value())
         return recordError("not a JSON object");
@@ -68,8 +82,8 @@
         return recordError("address is not an IP address with a port");
     if (!state.has_value())
         return recordError("state is neither ready nor draining");
-    if (!slots.has_value())
-        return recordError("slots is not an unsigned integer");
+    if (!slots.has_value() || *slots > MAX_SLOTS)
+        return recordError("slots is not an unsigned integer, or too large");
     record.service = *service;
     record.endpoint = *address;
     record.zone = *zone;
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -1,5 +1,8 @@
 #include "platform/storeclient.h"
 
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+
 #include "base/base64.h"
 #include "base/hash.h"
 #include "base/status.h"
@@ -236,7 +239,8 @@
         auto request = http::Request();
         request.target = base::concat("/v1/log-newest?topic=", topic, "&part=0");
         if (!after.empty())
-            request.target += base::concat("&after=", after);
+            request.target +=
+                base::concat("&after=", boost::urls::encode(after, boost::urls::unreserved_chars));
         const auto exchange = co_await call(std::move(request), NEWEST_TIMEOUT);
         if (!exchange.response.ok())
             co_return exchange.response.status();
@@ -279,6 +283,9 @@
         }
         if (!boolField(*body, "has_more").value_or(false))
             co_return snapshot;
+        if (items == nullptr || items->empty())
+            co_return malformedResponse("a page without items that is not the last",
+                                        "store.newest");
     }
 }
 
--- a/src/platform/tests/storeclient_tests.cpp
+++ b/src/platform/tests/storeclient_tests.cpp
@@ -148,6 +148,12 @@
     EXPECT_EQ(page->end, 4U);
 }
 
+//! Without an end the machine would read pages for ever and follow nothing.
+TEST(StoreClient, StoreClient_EmptyPageThatIsNotTheLast_ReturnsError)
+{
+    EXPECT_FALSE(FixedResponseStore(200, R"({"items":[],"has_more":true,"end":4})").newest().ok());
+}
+
 TEST(StoreClient, StoreClient_TooManyRequests_RetriesSnapshotPagesOnly)
 {
     const auto *body = R"({"items":[],"has_more":false,"end":4})";
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -9,6 +9,7 @@
 import unittest
 
 from platformworld.calls import check_unchecked_calls
+from platformworld.servers import PlainBackend
 from platformworld.texts import parse_event, software_of
 from platformworld.world import BIN, HOST, KEY, World, eventually
 
@@ -336,6 +337,34 @@
         self.assertEqual(self.world.nodes[0].call("POST", "/orders/1")[0], 200)
         self.assertTrue(self.world.nodes[0].events("configuration.malformed"))
 
+    def test_odd_entries_of_another_writer_end_no_machine_and_hold_up_no_news(self):
+        """Nested, too large and out-of-range values among the servers' records; a new server is used all the same."""
+        record = self.world.plains[0].record()
+        odd = {"deep": b"[" * 100000 + b"]" * 100000,
+               "deeper": json.dumps(record).encode()[:-1] + b',"models":' + b"[" * 50000 + b"]" * 50000 + b"}",
+               "large": json.dumps({**record, "slots": 0}).replace('"slots": 0', '"slots": 1e999').encode(),
+               "larger": json.dumps({**record, "slots": 10 ** 400, "born": 10 ** 400}).encode(),
+               "port": json.dumps({**record, "address": "127.0.0.1:99999"}).encode(),
+               "i\r\nX-Tenant: x": json.dumps(record).encode()}
+        partition = self.world.store.partition("keyed.servers")
+        for key, value in odd.items():
+            partition.add([bytes([len(key)]) + key.encode() + value])
+        restarted = self.world.nodes[0]
+        restarted.kill()
+        restarted.start()
+        eventually(restarted.ready, 10, "a machine that reads the entries in its first snapshot")
+        late = PlainBackend(self.world.loop, self.world.store, "desk", "i-late", "a")
+        self.world.plains.append(late)
+        late.announce()
+        for node in self.world.nodes:
+            eventually(lambda: any(line["server"] == "i-late" for line in node.events("server.changed")),
+                       CONFIGURATION_BOUND, "the new server is known")
+            for _ in range(10):
+                self.assertEqual(node.call("POST", "/orders/1")[0], 200)
+            self.assertTrue(node.running())
+        self.assertTrue(all(request["headers"].get("x-tenant") == "amend"
+                            for server in self.world.plains for request in server.requests))
+
     def test_draining_server_gets_nothing_new(self):
         self.world.plains[0].state = "draining"
         self.world.plains[0].announce()
