Test that answers of other servers never enter a stream or text

Other operators' clients found an error's text or head in the middle of a stream that had broken off, or a stream that ended as if it were complete. Here a stream of a caller is never continued within its response and an item's text takes events of status 200 only.

--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -199,6 +199,20 @@
             self.check_results(self.world.wait_results(node, "b1", 40), 40)
         self.assertEqual([engine.garble_next for engine in self.world.engines], [0, 0, 0])
 
+    def test_error_answers_leave_no_trace_in_resumed_texts(self):
+        """Runs break off in the middle and are refused with errors elsewhere before they go on."""
+        for engine in self.world.engines:
+            engine.events, engine.pace = 6, 0.1
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 30), 202)
+        eventually(lambda: sum(engine.running for engine in self.world.engines) >= 10, 5, "items run")
+        time.sleep(0.25)
+        first, *others = self.world.engines
+        first.crash_next = first.running
+        for engine in others:
+            engine.fail_next = 1
+        self.check_results(self.world.wait_results(self.world.nodes[0], "b1", 30), 30)
+        self.assertTrue(any(run["from"] > 0 for engine in self.world.engines for run in engine.requests))
+
     def test_failing_item_is_given_up_after_its_attempts(self):
         for engine in self.world.engines:
             engine.fail_next = 100
--- a/tests/integration/test_software.py
+++ b/tests/integration/test_software.py
@@ -5,13 +5,14 @@
 batch, a version that leaves, a client that goes to another machine, and the loss of all machines."""
 
 import concurrent.futures
+import socket
 import time
 import unittest
 
 from platformworld.httpd import Server, Silence
 from platformworld.streamclient import StreamClient
 from platformworld.texts import software_of
-from platformworld.world import World, eventually
+from platformworld.world import HOST, KEY, World, eventually
 
 OLD, NEW = "1.0", "2.0"
 EVENTS, PACE = 16, 0.1
@@ -266,6 +267,35 @@
         clients = self.begin()
         self.take_up(clients, name_beginning=False)
 
+    def test_stream_that_breaks_off_shows_no_other_answer(self):
+        """Other servers answer with errors by then. The client sees neither these nor a complete stream."""
+        for number in range(8):
+            node = self.world.nodes[number % len(self.world.nodes)]
+            for engine in self.world.engines:
+                engine.fail_next = engine.crash_next = 0
+            with socket.create_connection((node.ip, node.ports["front"]), 5) as connection:
+                connection.sendall(f"POST /talks/1 HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+                                   f"X-Request-Id: cut-{number}\r\nX-Deadline-Ms: 10000\r\n"
+                                   "Content-Length: 6\r\n\r\nprompt".encode())
+                received = b""
+                while b"id: 3\n" not in received:
+                    part = connection.recv(65536)
+                    self.assertTrue(part, received)
+                    received += part
+                for engine in self.world.engines:
+                    engine.crash_next = engine.running
+                    engine.fail_next = 5
+                try:
+                    while part := connection.recv(65536):
+                        received += part
+                except ConnectionResetError:
+                    pass
+            self.assertTrue(received.startswith(b"HTTP/1.1 200"), received)
+            self.assertEqual(received.count(b"HTTP/1.1"), 1, received)
+            self.assertFalse(received.endswith(b"\r\n0\r\n\r\n"), received)
+            numbers = [int(line.removeprefix(b"id: ")) for line in received.split(b"\n") if line.startswith(b"id: ")]
+            self.assertEqual(numbers, list(range(1, len(numbers) + 1)))
+
     def test_take_up_while_the_store_is_away_is_not_joined(self):
         clients = self.begin()
         self.world.store.mode = "silent"
