Skip interim responses wherever a head is read

The machine offered the batch to another one, its copy kept the header, and the interim response 100 of the other machine counted as its answer; the refusal after it was never read.

HttpConnection::readHead skips 1xx heads, 16 at most, and takes 101 for an error, so that all peers are covered. One function removes the headers of one connection, Expect among them, on every hop.

--- a/src/app/node/relay.cpp
+++ b/src/app/node/relay.cpp
@@ -40,9 +40,7 @@
     if (peers.empty())
         co_return result;
     const auto &peer = peers[base::hash64(std::to_string(++m_turn)) % peers.size()];
-    http::removeHeader(request.headers, "Connection");
-    http::removeHeader(request.headers, "Content-Length");
-    http::removeHeader(request.headers, "Transfer-Encoding");
+    http::removeHopByHopHeaders(request.headers);
     request.headers.push_back({ RELAY_HEADER, "1" });
     m_relayed.add();
     auto options = http::ConnectOptions();
--- a/src/connection/backend/internal/cleanheaders.cpp
+++ b/src/connection/backend/internal/cleanheaders.cpp
@@ -8,10 +8,8 @@
 namespace {
 
 constexpr auto KEY_PARAMETER = std::string_view("api_key");
-constexpr auto REMOVED_HEADERS = std::array<std::string_view, 13> {
-    "Authorization",     "Proxy-Authorization", "Cookie",  "X-Api-Key", "Host",
-    "Connection",        "Keep-Alive",          "Upgrade", "TE",        "Trailer",
-    "Transfer-Encoding", "Content-Length",      "Expect",
+constexpr auto REMOVED_HEADERS = std::array<std::string_view, 5> {
+    "Authorization", "Proxy-Authorization", "Cookie", "X-Api-Key", "Host",
 };
 
 } // namespace
@@ -20,6 +18,7 @@
 {
     for (const auto name : REMOVED_HEADERS)
         http::removeHeader(headers, name);
+    http::removeHopByHopHeaders(headers);
     return headers;
 }
 
--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -18,6 +18,11 @@
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 constexpr auto READ_BYTES = std::size_t(16 * 1024);
+//! Heads with a lower status are interim: the final one follows.
+constexpr auto FIRST_FINAL_STATUS = 200U;
+constexpr auto STATUS_SWITCHING_PROTOCOLS = 101U;
+//! A peer in trouble may send interim heads without end.
+constexpr auto MAX_INTERIM_RESPONSES = 16;
 
 //! The seconds of "timeout=N" in a Keep-Alive header; 0 when there are none.
 auto keepAliveOf(std::string_view value) -> base::Duration
@@ -44,6 +49,12 @@
     return base::makeError(code, error.message(), { std::string(step), m_peer });
 }
 
+template <typename Stream>
+auto HttpConnection<Stream>::unusableHead(std::string_view problem) const -> absl::Status
+{
+    return base::makeError(absl::StatusCode::kUnavailable, problem, { "http.readHead", m_peer });
+}
+
 template <typename Stream>
 auto HttpConnection<Stream>::send(const Request &request, base::Duration timeout,
                                   std::function<void()> onFirstByte)
@@ -72,16 +83,23 @@
 auto HttpConnection<Stream>::readHead(base::Duration timeout)
     -> asio::awaitable<absl::StatusOr<Response>>
 {
-    m_parser = std::make_unique<Parser>();
-    m_parser->body_limit(m_bodyLimit);
-    m_parser->skip(m_headRequest);
     tcp().expires_after(timeout);
-    auto [error, bytes] =
-        co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, USE_TUPLE);
-    if (error)
-        co_return errorAt("http.readHead", error);
     auto head = Response();
-    head.status = m_parser->get().result_int();
+    head.status = 0;
+    for (auto interim = 0; head.status < FIRST_FINAL_STATUS; ++interim) {
+        if (interim > MAX_INTERIM_RESPONSES)
+            co_return unusableHead("too many interim responses");
+        m_parser = std::make_unique<Parser>();
+        m_parser->body_limit(m_bodyLimit);
+        m_parser->skip(m_headRequest);
+        auto [error, bytes] =
+            co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, USE_TUPLE);
+        if (error)
+            co_return errorAt("http.readHead", error);
+        head.status = m_parser->get().result_int();
+        if (head.status == STATUS_SWITCHING_PROTOCOLS)
+            co_return unusableHead("the peer changed the protocol, which was not asked for");
+    }
     const auto field = m_parser->get()[beast::http::field::keep_alive];
     m_keepAlive = keepAliveOf({ field.data(), field.size() });
     for (const auto &field : m_parser->get())
--- a/src/connection/http/internal/httpconnection.h
+++ b/src/connection/http/internal/httpconnection.h
@@ -34,6 +34,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     auto errorAt(std::string_view step, boost::beast::error_code error) const -> absl::Status;
+    auto unusableHead(std::string_view problem) const -> absl::Status;
     auto tcp() -> boost::beast::tcp_stream & { return boost::beast::get_lowest_layer(m_stream); }
 
     Stream m_stream;
--- a/src/connection/http/internal/message.cpp
+++ b/src/connection/http/internal/message.cpp
@@ -1,10 +1,23 @@
 #include "connection/http/message.h"
 
+#include <algorithm>
+#include <array>
+
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/url.hpp>
 
 namespace nutmegplank::connection::http {
 
+namespace {
+
+constexpr auto HOP_BY_HOP_HEADERS = std::array<std::string_view, 9> {
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Upgrade", "TE",
+    "Trailer",    "Transfer-Encoding", "Content-Length",   "Expect",
+};
+
+} // namespace
+
 auto headerValue(const Headers &headers, std::string_view name) -> std::string
 {
     for (const auto &header : headers) {
@@ -20,6 +33,18 @@
         headers, [name](const Header &header) { return boost::beast::iequals(header.name, name); });
 }
 
+auto removeHopByHopHeaders(Headers &headers) -> void
+{
+    const auto options = headerValue(headers, "Connection");
+    std::erase_if(headers, [&options](const Header &header) {
+        const auto hasName = [&header](std::string_view name) {
+            return boost::beast::iequals(header.name, name);
+        };
+        return std::ranges::any_of(HOP_BY_HOP_HEADERS, hasName)
+            || boost::beast::http::token_list(options).exists(header.name);
+    });
+}
+
 auto jsonResponse(std::uint32_t status, std::string body) -> Response
 {
     return Response { status, { { "Content-Type", "application/json" } }, std::move(body) };
--- a/src/connection/http/message.h
+++ b/src/connection/http/message.h
@@ -22,6 +22,10 @@
 //! Removes all fields called \a name.
 auto removeHeader(Headers &headers, std::string_view name) -> void;
 
+//! Removes the fields that concern one connection or the framing of one body, also those that
+//! "Connection" names, which no hop passes on. "Expect" is among them: each hop answers it itself.
+auto removeHopByHopHeaders(Headers &headers) -> void;
+
 //! A request with its whole body.
 struct Request
 {
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -253,9 +253,7 @@
 
 auto CallProtocol::toCallerResponse(http::Response response) const -> http::Response
 {
-    for (const auto *name : { "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
-                              "Trailer", "Upgrade" })
-        http::removeHeader(response.headers, name);
+    http::removeHopByHopHeaders(response.headers);
     return response;
 }
 
--- a/src/request/admission/internal/credentials.cpp
+++ b/src/request/admission/internal/credentials.cpp
@@ -17,17 +17,8 @@
 
 //! X-Boot-Id (of the answering server) and X-Deadline-Ms (how long the sender waits) also apply to
 //! one connection only.
-constexpr auto CONNECTION_HEADERS = std::array<std::string_view, 13> {
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "transfer-encoding",
-    "te",
-    "trailer",
-    "upgrade",
-    "expect",
+constexpr auto CONNECTION_HEADERS = std::array<std::string_view, 4> {
     "host",
-    "content-length",
     "x-boot-id",
     "x-deadline-ms",
     "proxy-authenticate",
@@ -204,14 +195,9 @@
 
 auto removeConnectionHeaders(connection::http::Headers &headers) -> void
 {
-    const auto connectionOptions = connection::http::headerValue(headers, "connection");
-    std::erase_if(headers, [&connectionOptions](const connection::http::Header &header) {
-        const auto hasName = [&header](auto name) { return equalsIgnoringCase(header.name, name); };
-        const auto isConnectionHeader =
-            std::any_of(CONNECTION_HEADERS.begin(), CONNECTION_HEADERS.end(), hasName);
-        return isConnectionHeader
-            || boost::beast::http::token_list(connectionOptions).exists(header.name);
-    });
+    connection::http::removeHopByHopHeaders(headers);
+    for (const auto name : CONNECTION_HEADERS)
+        connection::http::removeHeader(headers, name);
 }
 
 } // namespace nutmegplank::request::admission
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -144,6 +144,22 @@
         self.check_results(self.world.wait_results(self.world.nodes[2], "b1", 10), 10)
         self.check_results(self.world.wait_results(self.world.nodes[2], "b2", 5), 5)
 
+    def test_batch_that_expects_100_is_not_accepted_by_a_relay_that_refuses_it(self):
+        """The relayed copy kept the header, and the other machine's interim response counted as its answer."""
+        node, *others = self.world.nodes
+        for other in others:
+            self.wait_named(other, node)
+        self.world.store.mode = "busy"
+        time.sleep(0.5)
+
+        def submit():
+            return node.call("POST", "/steps/b1", self.world.batch(6), headers={
+                "X-Request-Id": "b1", "X-Deadline-Ms": "3000", "Expect": "100-continue"})[0]
+        self.assertEqual(submit(), 503)
+        self.world.store.mode = "up"
+        eventually(lambda: submit() == 202, 5, "accepted once the store is back")
+        self.check_results(self.world.wait_results(self.world.nodes[1], "b1", 6), 6)
+
     def test_holder_keeps_its_work_over_an_outage_of_the_store(self):
         """The outage outlasts the lease. A machine that sees the store first must not start the holder's items again."""
         for engine in self.world.engines:
@@ -666,4 +682,3 @@
             self.assertEqual(self.world.submit(self.world.nodes[number % 3], f"b{number}", 6), 202)
         for number in range(1, 4):
             self.check_results(self.world.wait_results(self.world.nodes[0], f"b{number}", 6, 8), 6)
-
