Open batches only with the configuration that accepted them

The record of an accepted batch names the version of the configuration. The machine in charge opens the batch with that version or a newer one; until then it reads the operator's records by a call of its own, since the read that follows them may wait on a silent connection.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -231,6 +231,7 @@
     if (m_parts.batches.log().find(id) != nullptr)
         co_return m_parts.protocol.writeAccepted(id);
     submission->head.workspace = exchange.workspace;
+    submission->head.configuration = exchange.table->version;
     submission->head.submittedMs = m_parts.trueTime.milliseconds(exchange.receivedAt);
     const auto batch = std::make_shared<const version::batch::Submission>(std::move(*submission));
     const auto relayed = Relay::wasRelayed(request);
--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -30,6 +30,7 @@
 //! A leaving holder keeps all texts before it hands the lease back, within this.
 constexpr auto HAND_OVER_TIME = std::chrono::milliseconds(600);
 constexpr auto LOAD_RETRY = std::chrono::milliseconds(100);
+constexpr auto CONFIGURATION_CHECK = std::chrono::milliseconds(20);
 constexpr auto CATCH_UP_TIME = std::chrono::seconds(3);
 
 //! Machines with less than this of a core leave the lease to larger ones for as long as any of
@@ -298,9 +299,34 @@
                        logging::LogTaskFailure("batch.load"));
 }
 
+//! Whether the configuration here is at least as new as the one under which \a batch was accepted.
+auto Conductor::knowsConfigurationOf(const Batch &batch) const -> bool
+{
+    const auto table = m_parts.routing();
+    return table != nullptr && table->version >= batch.head.configuration;
+}
+
+//! A route that is missing in an older configuration has not been removed: the batch waits.
+auto Conductor::waitForConfigurationOf(std::string batchId, std::uint64_t fence)
+    -> asio::awaitable<void>
+{
+    auto waits = false;
+    while (m_activeFence == fence) {
+        const auto *batch = m_parts.batches.log().find(batchId);
+        if (batch == nullptr || !batch->open() || knowsConfigurationOf(*batch))
+            co_return;
+        if (!std::exchange(waits, true))
+            logging::info("batch.configuration_awaited",
+                          { { "batch", batchId }, { "configuration", batch->head.configuration } });
+        m_parts.readConfigurationNow();
+        co_await pauseFor(CONFIGURATION_CHECK);
+    }
+}
+
 auto Conductor::loadBatch(std::string batchId, std::uint64_t fence) -> asio::awaitable<void>
 {
     while (m_activeFence == fence) {
+        co_await waitForConfigurationOf(batchId, fence);
         auto submission = co_await m_parts.batches.loadSubmission(batchId);
         const auto *batch = m_parts.batches.log().find(batchId);
         if (batch == nullptr || !batch->open() || m_activeFence != fence)
--- a/src/app/node/conductor.h
+++ b/src/app/node/conductor.h
@@ -40,6 +40,8 @@
     std::function<std::map<std::string, std::uint64_t>()> namedVersions;
     std::function<base::TimePoint()> serversReadAt; //!< See ExecutorDependencies.
     std::function<void()> readServersNow;
+    //! Reads the operator's records as they are now, apart from the reads that follow them.
+    std::function<void()> readConfigurationNow;
 };
 
 //! Everything that one machine at a time does: runs batches, orders weights and servers, reports
@@ -71,6 +73,9 @@
     auto activate(std::uint64_t fence) -> boost::asio::awaitable<void>;
     auto deactivate(std::string_view reason) -> void;
     auto openBatch(const version::batch::Batch &batch) -> void;
+    auto knowsConfigurationOf(const version::batch::Batch &batch) const -> bool;
+    auto waitForConfigurationOf(std::string batchId, std::uint64_t fence)
+        -> boost::asio::awaitable<void>;
     auto loadBatch(std::string batchId, std::uint64_t fence) -> boost::asio::awaitable<void>;
     auto endCalls() -> boost::asio::awaitable<void>;
     auto checkpointLoop() -> boost::asio::awaitable<void>;
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -93,12 +93,29 @@
     , m_batches(m_runtime.context(), m_store, m_incarnation, m_metrics)
     , m_membership(m_runtime.context(), m_store, m_settings, m_incarnation, m_trueTime, m_suspects,
                    m_health.limits())
-    , m_conductor({ m_runtime.context(), m_store, m_batches, m_servers, m_health, m_engines,
-                    m_pools, m_serverProtocol, m_fencedCalls, m_engineControl, m_duties, m_trueTime,
-                    m_metrics, m_settings, m_incarnation, [this] { return m_routing.load(); },
+    , m_conductor({ m_runtime.context(),
+                    m_store,
+                    m_batches,
+                    m_servers,
+                    m_health,
+                    m_engines,
+                    m_pools,
+                    m_serverProtocol,
+                    m_fencedCalls,
+                    m_engineControl,
+                    m_duties,
+                    m_trueTime,
+                    m_metrics,
+                    m_settings,
+                    m_incarnation,
+                    [this] { return m_routing.load(); },
                     [this] { return m_namedVersions; },
                     [this] { return m_serverFollower.currentAsOf(); },
-                    [this] { m_serverFollower.readNow(); } })
+                    [this] { m_serverFollower.readNow(); },
+                    [this] {
+                        asio::co_spawn(m_runtime.context(), readOperatorRecords(),
+                                       logging::LogTaskFailure("node.read_operator"));
+                    } })
     , m_streamOrigins(m_runtime.context(), m_store, m_servers,
                       { [this](base::TimePoint now) { return m_conductor.isInCharge(now); },
                         [this] { return refreshServers(); } })
@@ -342,17 +359,28 @@
 //! that were sent before the pause may be as old as the pause itself.
 auto Node::readConfigurationAgain() -> asio::awaitable<void>
 {
+    m_readingOperator = false;
+    co_await readOperatorRecords();
+    m_resuming = false;
+}
+
+//! Reads a snapshot apart from the follower, whose read may be under way on a connection that is
+//! silent. One such read at a time.
+auto Node::readOperatorRecords() -> asio::awaitable<void>
+{
+    if (std::exchange(m_readingOperator, true))
+        co_return;
     const auto snapshot = co_await m_store.newest(platform::OPERATOR_TOPIC);
     const auto now = process::clock::now();
-    if (snapshot.ok()) {
-        auto keys = std::set<std::string>();
-        for (const auto &record : snapshot->records) {
-            keys.insert(record.key);
-            applyOperatorRecord(record, now);
-        }
-        endEvacuations(keys, snapshot->end);
+    m_readingOperator = false;
+    if (!snapshot.ok())
+        co_return;
+    auto keys = std::set<std::string>();
+    for (const auto &record : snapshot->records) {
+        keys.insert(record.key);
+        applyOperatorRecord(record, now);
     }
-    m_resuming = false;
+    endEvacuations(keys, snapshot->end);
 }
 
 //! Reads the list of servers as it is now. False if the log does not answer in time.
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -49,6 +49,7 @@
     //! Detects that this process was paused, e.g. with its machine.
     auto checkPause(base::TimePoint now) -> void;
     auto readConfigurationAgain() -> boost::asio::awaitable<void>;
+    auto readOperatorRecords() -> boost::asio::awaitable<void>;
     auto housekeeping() -> boost::asio::awaitable<void>;
     auto refreshServers() -> boost::asio::awaitable<bool>;
     auto waitForQuiet(base::TimePoint earliest, base::TimePoint latest)
@@ -91,6 +92,7 @@
     std::unique_ptr<connection::http::HttpServer> m_metricsServer;
     base::TimePoint m_lastTick {}; //!< Of housekeeping.
     bool m_resuming = false;       //!< Paused a moment ago; the configuration is being read again.
+    bool m_readingOperator = false;
     bool m_terminating = false;
 };
 
--- a/src/version/batch/batch.h
+++ b/src/version/batch/batch.h
@@ -48,6 +48,8 @@
     std::uint32_t step = 0;
     std::uint32_t groupCount = 0; //!< Number of groups that the trainer waits for.
     std::int64_t submittedMs = 0; //!< UTC milliseconds since the Unix epoch, from TrueTime.
+    //! Version of the configuration under which it was accepted; 0 if not known.
+    std::uint64_t configuration = 0;
 };
 
 //! A batch as submitted by a caller.
--- a/src/version/batch/internal/batchcodec.cpp
+++ b/src/version/batch/internal/batchcodec.cpp
@@ -149,6 +149,7 @@
     accepted.set_step(head.step);
     accepted.set_group_count(head.groupCount);
     accepted.set_submitted_ms(head.submittedMs);
+    accepted.set_configuration(head.configuration);
     accepted.set_item_count(static_cast<std::uint32_t>(submission.items.size()));
     accepted.set_bulk_partition(place.partition);
     accepted.set_bulk_offset(place.offset);
--- a/src/version/batch/internal/batchlog.cpp
+++ b/src/version/batch/internal/batchlog.cpp
@@ -60,6 +60,7 @@
     head.step = accepted.step();
     head.groupCount = accepted.group_count();
     head.submittedMs = accepted.submitted_ms();
+    head.configuration = accepted.configuration();
     batch->listed.resize(accepted.item_count());
     batch->place = { accepted.bulk_partition(), accepted.bulk_offset() };
     batch->attempt = accepted.attempt();
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -11,6 +11,7 @@
 
 from platformworld.calls import check_unchecked_calls
 from platformworld.leaving import LeavingJudge
+from platformworld.paths import PathsWorld
 from platformworld.servers import PlainBackend
 from platformworld.texts import parse_event, software_of
 from platformworld.world import BIN, HOST, KEY, World, eventually
@@ -682,3 +683,22 @@
             self.assertEqual(self.world.submit(self.world.nodes[number % 3], f"b{number}", 6), 202)
         for number in range(1, 4):
             self.check_results(self.world.wait_results(self.world.nodes[0], f"b{number}", 6, 8), 6)
+
+
+class HolderBehind(unittest.TestCase):
+    def test_batch_of_a_route_that_the_holder_has_not_read_yet_is_run(self):
+        """The machine in charge took a route that it had not read yet for one that was removed, and gave all items up."""
+        world = PathsWorld()
+        self.addCleanup(world.close)
+        holder = world.holder()
+        other = next(node for node in world.nodes if node is not holder)
+        world.deaf.add((holder.name, "keyed.op"))
+        configuration = json.loads(world.store.partition("keyed.op").newest["config"][0])
+        steps = next(route for route in configuration["routes"] if route["name"] == "steps")
+        world.configure(routes=[*configuration["routes"], {**steps, "name": "fresh", "path_prefix": "/fresh/"}])
+        body = world.batch(20).replace(b"/steps/", b"/fresh/")
+        headers = {"X-Request-Id": "b1", "X-Deadline-Ms": "12000"}
+        eventually(lambda: other.call("POST", "/fresh/b1", body, headers=headers)[0] == 202, CONFIGURATION_BOUND,
+                   "accepted by the machine that knows the route")
+        results = world.wait_results(other, "b1", 20)
+        self.assertEqual({result["state"] for result in results}, {"completed"})
--- a/tests/integration/test_software.py
+++ b/tests/integration/test_software.py
@@ -9,7 +9,7 @@
 import time
 import unittest
 
-from platformworld.httpd import Server, Silence
+from platformworld.paths import PathsWorld
 from platformworld.streamclient import StreamClient
 from platformworld.texts import software_of
 from platformworld.world import HOST, KEY, World, eventually
@@ -309,26 +309,6 @@
         self.check_not_lost(new, self.take_up(new))
 
 
-class PathsWorld(World):
-    """Each machine has a path of its own to the store; those in `cut` hear nothing."""
-
-    def before_start(self):
-        self.cut = set()
-        self.paths = {node.name: Server(self.loop, "127.0.0.1", 0, self.path_of(node.name)).start()
-                      for node in self.nodes}
-
-    def path_of(self, name):
-        async def handle(request):
-            answer = await self.store.handle(request)
-            if name in self.cut:
-                raise Silence
-            return answer
-        return handle
-
-    def store_endpoint(self, node):
-        return self.paths[node.name].endpoint
-
-
 class MachineBehind(SoftwareCase):
     ENGINES = {OLD: 3}
     WORLD = PathsWorld
