Order replacements when servers announce their end

Cause: whole zones of cheap servers are reclaimed with 2 to 3 s of notice. The planner saw a loss only as missing ready servers, waited 1.5 s, counted cheap servers into the absolute count of those that stay, ordered in another zone after a lost answer, and learned the usual number of servers on the lease holder only, so that a machine that took over during a loss took the reduced number for the usual one.

Change: records give "spot" and "leaves_ms"; announced losses are replaced at once, in several zones if need be; an order without an answer is repeated in its zone; zones that refuse are asked again after growing pauses; all machines learn the usual number.

--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -72,8 +72,8 @@
                 m_parts.process, m_parts.settings.usageWindow,
                 [this](base::TimePoint now) { return orderFence(now); },
                 [this](std::uint64_t fence) { m_refusedFence = std::max(m_refusedFence, fence); } })
-    , m_scaling({ m_parts.context, m_parts.servers, m_parts.duties, m_parts.routing,
-                  [this](base::TimePoint now) { return orderFence(now); } })
+    , m_scaling({ m_parts.context, m_parts.servers, m_parts.duties, m_parts.metrics,
+                  m_parts.routing, [this](base::TimePoint now) { return orderFence(now); } })
     , m_inCharge(
           m_parts.metrics.gauge("nutmegplank_in_charge", "1 while this process holds the lease."))
 {
--- a/src/platform/serverrecords.cpp
+++ b/src/platform/serverrecords.cpp
@@ -22,6 +22,9 @@
 //! No server is cold for longer; larger numbers are malformed and would overflow.
 constexpr auto MAX_COLD_MS = std::uint64_t(3'600'000);
 
+//! Notices are of seconds; larger numbers are malformed and would overflow.
+constexpr auto MAX_LEAVES_MS = std::uint64_t(3'600'000);
+
 //! More than any server has; larger numbers are malformed.
 constexpr auto MAX_SLOTS = std::uint64_t(1'000'000);
 
@@ -95,6 +98,10 @@
     // "sequence" counts heartbeats here, but accepted orders in an engine's report; it is not read.
     // "born" is the start time of the server in Unix milliseconds.
     record.incarnation = static_cast<std::int64_t>(unsignedField(*object, "born").value_or(0));
+    record.reclaimable = boolField(*object, "spot").value_or(false);
+    const auto leavesMs = unsignedField(*object, "leaves_ms");
+    if (leavesMs.has_value())
+        record.leavesIn = std::chrono::milliseconds(std::min(*leavesMs, MAX_LEAVES_MS));
     record.modelVersion = readModelVersions(*object);
     return record;
 }
--- a/src/platform/tests/serverrecords_tests.cpp
+++ b/src/platform/tests/serverrecords_tests.cpp
@@ -24,13 +24,15 @@
     const auto record =
         readServerRecord({ "i-1",
                            R"({"service":"s","address":"10.1.2.3:80","zone":"a","slots":16,
-          "state":"draining","cold_remaining_ms":1500,"models":[{"name":"m","version":3}],
+          "state":"draining","cold_remaining_ms":1500,"spot":true,"leaves_ms":2300,"models":[{"name":"m","version":3}],
           "sequence":9,"born":1700000000123})",
                            5 });
     ASSERT_TRUE(record.ok()) << record.status();
     EXPECT_EQ(record->id, "i-1");
     EXPECT_EQ(record->state, process::servers::ServerState::Draining);
     EXPECT_EQ(record->coldFor, 1500ms);
+    EXPECT_TRUE(record->reclaimable);
+    EXPECT_EQ(record->leavesIn, 2300ms);
     EXPECT_EQ(record->incarnation, 1700000000123);
     EXPECT_EQ(record->modelVersion.at("m"), 3U);
 }
--- a/src/process/capacity/tests/capacityplanner_tests.cpp
+++ b/src/process/capacity/tests/capacityplanner_tests.cpp
@@ -14,7 +14,9 @@
 {
     auto input = CapacityInput();
     input.service = "quote";
-    input.zones = { { "a", ready[0], 1.0 }, { "b", ready[1], 0.8 }, { "c", ready[2], 1.25 } };
+    input.zones = { { "a", ready[0], 0, 0, 1.0 },
+                    { "b", ready[1], 0, 0, 0.8 },
+                    { "c", ready[2], 0, 0, 1.25 } };
     input.most = 6;
     input.now = now;
     return input;
@@ -38,7 +40,7 @@
     ASSERT_TRUE(order.has_value());
     EXPECT_EQ(order->zone, "b");
     EXPECT_EQ(order->count, 6U);
-    planner.taken(*order, START + 3s);
+    planner.noteTaken(*order, START + 3s);
     EXPECT_FALSE(planner.decide(makeInput({ 0, 3, 3 }, START + 4s)).has_value());
 }
 
@@ -50,7 +52,7 @@
     const auto first = planner.decide(makeInput({ 3, 0, 3 }, START + 3s));
     ASSERT_TRUE(first.has_value());
     EXPECT_EQ(first->zone, "b");
-    planner.refused(*first, START + 3s);
+    planner.noteRefused(*first, START + 3s);
     const auto second = planner.decide(makeInput({ 3, 0, 3 }, START + 4s));
     ASSERT_TRUE(second.has_value());
     EXPECT_EQ(second->zone, "a");
@@ -65,3 +67,92 @@
     ASSERT_TRUE(order.has_value());
     EXPECT_LE(order->count, 6U);
 }
+
+//! Whole zones of cheap servers go with a notice of two to three seconds, a new server takes four:
+//! waiting for the loss would leave the callers with too few servers for longer.
+TEST(CapacityPlanner, CapacityPlanner_AnnouncedLoss_IsReplacedAtOnceWithServersThatStay)
+{
+    auto planner = CapacityPlanner();
+    auto input = makeInput({ 1, 3, 3 }, START);
+    input.zones[0].reclaimable = 4;
+    EXPECT_FALSE(planner.decide(input).has_value());
+    input.zones[0].reclaimable = 0;
+    input.zones[0].leaving = 4;
+    input.now = START + 100ms;
+    const auto first = planner.decide(input);
+    ASSERT_TRUE(first.has_value());
+    EXPECT_EQ(first->zone, "b");
+    EXPECT_EQ(first->count, 6U);
+    planner.noteTaken(*first, input.now);
+    const auto second = planner.decide(input);
+    ASSERT_TRUE(second.has_value());
+    EXPECT_EQ(second->zone, "a");
+    EXPECT_EQ(second->count, 2U);
+    planner.noteTaken(*second, input.now);
+    EXPECT_FALSE(planner.decide(input).has_value());
+}
+
+//! Servers that are replaced one after the other come back by themselves.
+TEST(CapacityPlanner, CapacityPlanner_LossWithoutNotice_IsNotReplacedBeforeItLasts)
+{
+    auto planner = CapacityPlanner();
+    planner.decide(makeInput({ 3, 3, 3 }, START));
+    EXPECT_FALSE(planner.decide(makeInput({ 2, 3, 3 }, START + 1s)).has_value());
+    EXPECT_FALSE(planner.decide(makeInput({ 3, 3, 3 }, START + 2s)).has_value());
+    EXPECT_FALSE(planner.decide(makeInput({ 3, 2, 3 }, START + 3s)).has_value());
+}
+
+//! A lost answer hides whether servers come. An order in another zone could double them.
+TEST(CapacityPlanner, CapacityPlanner_OrderWithoutAnswer_IsRepeatedInItsZoneAndNeverShrinksIt)
+{
+    auto planner = CapacityPlanner();
+    planner.decide(makeInput({ 0, 3, 3 }, START));
+    auto input = makeInput({ 0, 1, 3 }, START + 1s);
+    input.zones[1].leaving = 2;
+    const auto order = planner.decide(input);
+    ASSERT_TRUE(order.has_value());
+    planner.noteUnanswered(*order, input.now);
+    EXPECT_FALSE(planner.decide(input).has_value());
+    input.now += 1s;
+    const auto repeated = planner.decide(input);
+    ASSERT_TRUE(repeated.has_value());
+    EXPECT_EQ(repeated->zone, order->zone);
+    EXPECT_EQ(repeated->count, order->count);
+    planner.noteUnanswered(*repeated, input.now);
+    input.now += 1s;
+    input.zones[1].ready = order->count + 1;
+    EXPECT_FALSE(planner.decide(input).has_value());
+}
+
+//! A zone that is empty for some seconds has servers again soon after; it is asked less and less
+//! often, so that calls of other duties find their rate.
+TEST(CapacityPlanner, CapacityPlanner_ZoneWithoutServers_IsAskedWithGrowingPauses)
+{
+    auto planner = CapacityPlanner();
+    auto input = makeInput({ 3, 0, 0 }, START);
+    input.zones.resize(1);
+    planner.decide(input);
+    input.zones[0].ready = 1;
+    input.zones[0].leaving = 2;
+    auto asked = std::vector<base::Duration>();
+    for (input.now = START; input.now < START + 12s; input.now += 500ms) {
+        const auto order = planner.decide(input);
+        if (!order.has_value())
+            continue;
+        asked.push_back(input.now - START);
+        planner.noteRefused(*order, input.now);
+    }
+    EXPECT_EQ(asked, (std::vector<base::Duration> { 0s, 1s, 3s, 7s, 11s }));
+}
+
+//! The holder changes while servers are missing: the next one has seen how many there were.
+TEST(CapacityPlanner, CapacityPlanner_MachineThatTakesOverDuringALoss_RestoresTheUsualNumber)
+{
+    auto planner = CapacityPlanner();
+    planner.observe(makeInput({ 3, 3, 3 }, START));
+    planner.observe(makeInput({ 3, 0, 3 }, START + 1s));
+    EXPECT_FALSE(planner.decide(makeInput({ 3, 0, 3 }, START + 2s)).has_value());
+    const auto order = planner.decide(makeInput({ 3, 0, 3 }, START + 4s));
+    ASSERT_TRUE(order.has_value());
+    EXPECT_EQ(order->count, 3U);
+}
--- a/src/process/servers/servertable.h
+++ b/src/process/servers/servertable.h
@@ -32,8 +32,11 @@
     ServerState state = ServerState::Ready;
     std::string software; //!< Version of its software; empty if not known.
     std::uint32_t slots = 1;
-    base::Duration coldFor { 0 };                      //!< How much longer it stays cold.
-    std::int64_t incarnation = 0;                      //!< Unix milliseconds of its start.
+    base::Duration coldFor { 0 }; //!< How much longer it stays cold.
+    std::int64_t incarnation = 0; //!< Unix milliseconds of its start.
+    bool reclaimable = false;     //!< Cheap, and may be taken back by the platform at any time.
+    //! Time from the record until the server ends; only if it said so.
+    std::optional<base::Duration> leavesIn;
     std::map<std::string, std::uint64_t> modelVersion; //!< Weight version by model.
 };
 
