--- a/src/platform/nodefile.cpp
+++ b/src/platform/nodefile.cpp
@@ -25,6 +25,10 @@
     return endpoint;
 }
 
+constexpr auto BYTES_PER_MEGABYTE = std::uint64_t(1'000'000);
+constexpr auto MAX_MEGABYTES = 16'000'000;
+constexpr auto MAX_DESCRIPTORS = 16'000'000;
+
 auto readSeconds(base::ObjectReader &reader, std::string_view field, base::Duration fallback)
     -> base::Duration
 {
@@ -82,6 +86,11 @@
     }
     auto limits = reader.object("limits");
     settings.cpuShare = limits.number("cpu_share", 0.0, 1024.0, settings.cpuShare);
+    settings.memoryBytes =
+        static_cast<std::uint64_t>(limits.integer("memory_mb", { 0, MAX_MEGABYTES }, 0))
+        * BYTES_PER_MEGABYTE;
+    settings.descriptors =
+        static_cast<std::uint32_t>(limits.integer("max_fds", { 0, MAX_DESCRIPTORS }, 0));
     keepFirstError(problem, limits);
     auto bounds = reader.object("bounds");
     settings.usageWindow = readSeconds(bounds, "usage_window_s", settings.usageWindow);
--- a/src/platform/tests/nodefile_tests.cpp
+++ b/src/platform/tests/nodefile_tests.cpp
@@ -30,7 +30,7 @@
 constexpr auto VALID_SETTINGS =
     R"({"node_name":"n","ip":"10.0.0.1","zone":"a","region":"r","new field":[1],
   "listen":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","directory":"10.0.0.1:3","control":"x"},
-  "limits":{"cpu_share":0.12,"memory_mb":88},
+  "limits":{"cpu_share":0.12,"memory_mb":88,"max_fds":3075},
   "bounds":{"usage_window_s":5,"grace_s":8.0,"settle_ms":1000,"strict_revoke":false},
   "platform":{"address":"10.9.9.9:1","form":"log","parts":24,"record_bytes":262144},
   "cloud":{"address":"10.9.9.8:1"}})";
@@ -44,6 +44,8 @@
     ASSERT_TRUE(settings.ok()) << settings.status();
     EXPECT_EQ(settings->node, "n");
     EXPECT_EQ(settings->cpuShare, 0.12);
+    EXPECT_EQ(settings->memoryBytes, 88'000'000U);
+    EXPECT_EQ(settings->descriptors, 3075U);
     EXPECT_EQ(settings->appendLimits.partitions, 24U);
     EXPECT_EQ(settings->usageWindow, 5s);
 }
--- a/src/process/settings/machinesettings.h
+++ b/src/process/settings/machinesettings.h
@@ -30,6 +30,8 @@
     //! Two machines must not act as lease holders by turns within this time.
     base::Duration holderTurn = std::chrono::seconds(3);
     double cpuShare = 1.0;                                 //!< Of a core.
+    std::uint64_t memoryBytes = 0;                         //!< Of the process; 0 if not known.
+    std::uint32_t descriptors = 0;                         //!< Of the process; 0 if not known.
     base::Duration directoryTtl = std::chrono::seconds(5); //!< Longest that counts.
 };
 
