Check a configuration before it is sent

Cause: "validate" stopped at the first error and knew nothing of entries that can never match or of limits that contradict each other; a record of the users' platform could not be checked at all.

Change: "nutmegplankctl check" and "check-record" name all errors with their place, such entries and limits, and what differs from the version in force. They send nothing.

Tests: checks of declarations and of routing tables, the command line against a controller's interface.

--- a/src/app/ctl/changecommands.cpp
+++ b/src/app/ctl/changecommands.cpp
@@ -191,18 +191,6 @@
 
 } // namespace
 
-auto runValidate(const Options &options) -> ExitCode
-{
-    const auto declared = configuration::loadDeclarations(options.folder);
-    if (!declared.ok())
-        return fail(options, ExitCode::BadInput, base::toStd(declared.status().message()));
-    if (options.json)
-        printJson(json::object { { "valid", true } });
-    else
-        std::cout << options.folder << ": valid\n";
-    return ExitCode::Done;
-}
-
 auto runPlan(Context &context) -> ExitCode
 {
     auto comparison = Comparison();
--- a/src/app/ctl/commands.cpp
+++ b/src/app/ctl/commands.cpp
@@ -7,6 +7,10 @@
     switch (context.options.command) {
     case Command::Validate:
         return runValidate(context.options);
+    case Command::Check:
+        return runCheck(context);
+    case Command::CheckRecord:
+        return runCheckRecord(context.options);
     case Command::Plan:
         return runPlan(context);
     case Command::Apply:
--- a/src/app/ctl/commands.h
+++ b/src/app/ctl/commands.h
@@ -7,8 +7,12 @@
 //! Runs what the options ask for.
 auto runCommand(Context &context) -> ExitCode;
 
-// Changes
+// Checks
 auto runValidate(const Options &options) -> ExitCode;
+auto runCheck(Context &context) -> ExitCode;
+auto runCheckRecord(const Options &options) -> ExitCode;
+
+// Changes
 auto runPlan(Context &context) -> ExitCode;
 auto runApply(Context &context) -> ExitCode;
 auto runPresetUse(Context &context) -> ExitCode;
--- a/src/app/ctl/options.cpp
+++ b/src/app/ctl/options.cpp
@@ -19,6 +19,8 @@
 
 Usage:
   nutmegplankctl validate FOLDER [options]
+  nutmegplankctl check FOLDER [--in-force=PATH] [options]
+  nutmegplankctl check-record FILE [--in-force=PATH] [options]
   nutmegplankctl plan FOLDER [options]
   nutmegplankctl apply FOLDER [options]
   nutmegplankctl status [options]
@@ -37,18 +39,23 @@
   --why=TEXT                Reason, for the audit trail [default: ].
   --base-version=N          Change only if version N is in force.
   --timeout=TIME            How long a change may take to be in force everywhere [default: 30s].
+  --in-force=PATH           Compare with this folder, or record, instead of asking controllers.
   --json                    Print JSON.
   --id=ID                   Name of the new key.
   --from=VERSION            Show changes from this version on [default: 0].
   -h --help                 Show this text.
   --version                 Show the version.
 
+"check" looks at declarations before they are sent: all errors, entries that can never match, limits
+that contradict each other, and what differs from the version in force. "check-record" does so for
+a configuration record of the platform.
+
 A key that is granted is printed once and kept nowhere; the platform's log holds its hash.
 
 Exit codes:
   0  done; for a change: in force on every process
   1  failed; no controller answered, or the log is out of reach
-  2  command line, declarations or operator key are wrong
+  2  command line, declarations or operator key are wrong; "check" has findings
   3  another change came first; nothing was changed
   4  the change stands in the log, but was not in force everywhere in time
 )";
@@ -68,6 +75,8 @@
 {
     static const auto table = std::vector<CommandWords> {
         { "validate", "", Command::Validate },
+        { "check", "", Command::Check },
+        { "check-record", "", Command::CheckRecord },
         { "plan", "", Command::Plan },
         { "apply", "", Command::Apply },
         { "status", "", Command::Status },
@@ -125,7 +134,10 @@
 
 auto checkControllers(const Options &options) -> absl::Status
 {
-    if (options.command == Command::Validate)
+    const auto needsNone = options.command == Command::Validate
+        || options.command == Command::CheckRecord
+        || (options.command == Command::Check && options.controllers.empty());
+    if (needsNone)
         return absl::OkStatus();
     if (options.controllers.empty() || options.operatorKeyFile.empty())
         return absl::InvalidArgumentError(
@@ -195,6 +207,8 @@
     auto options = Options();
     options.command = commandOf(parsed);
     options.folder = textOf(parsed, "FOLDER");
+    options.file = textOf(parsed, "FILE");
+    options.inForce = textOf(parsed, "--in-force");
     options.name = nameOf(parsed);
     options.keyId = textOf(parsed, "--id");
     options.controllers = splitList(textOf(parsed, "--controllers"));
--- a/src/app/ctl/options.h
+++ b/src/app/ctl/options.h
@@ -14,6 +14,8 @@
 
 enum class Command {
     Validate,
+    Check,
+    CheckRecord,
     Plan,
     Apply,
     Status,
@@ -30,9 +32,11 @@
 struct Options
 {
     Command command = Command::Status;
-    std::string folder;                   //!< Of declarations.
-    std::string name;                     //!< Preset, workspace, key id or zone.
-    std::string keyId;                    //!< For key grant; empty for a name of its own.
+    std::string folder;  //!< Of declarations.
+    std::string file;    //!< A record of the platform's configuration.
+    std::string inForce; //!< Folder or record to compare with; empty to ask the controllers.
+    std::string name;    //!< Preset, workspace, key id or zone.
+    std::string keyId;   //!< For key grant; empty for a name of its own.
     std::vector<std::string> controllers; //!< "address:port".
     std::string operatorKeyFile;
     std::string caFile; //!< Empty for plain TCP.
--- a/src/app/ctl/tests/commands_tests.cpp
+++ b/src/app/ctl/tests/commands_tests.cpp
@@ -144,3 +144,45 @@
     table.add({ "éé", "x" });
     EXPECT_EQ(table.render(), "A   B\néé  x\n");
 }
+
+TEST_F(CtlTest, Ctl_Check_NamesFindingsAndWhatDiffersFromTheVersionInForce)
+{
+    ASSERT_EQ(applyAll(), ExitCode::Done);
+    write("more.json", R"({"services": [{"name": "spare"}], "zones": [{"name": "c"}]})");
+    EXPECT_EQ(run({ "check", m_folder.string() }), ExitCode::BadInput);
+    const auto report = json::parse(m_output);
+    const auto &findings = report.at("findings").as_array();
+    ASSERT_EQ(findings.size(), 2U); // The workspace has no key.
+    EXPECT_EQ(findings[1].at("place").as_string(), "service \"spare\"");
+    EXPECT_EQ(findings[1].at("kind").as_string(), "never_matches");
+    const auto &differences = report.at("differences").as_array();
+    ASSERT_EQ(differences.size(), 2U);
+    EXPECT_EQ(differences[0].as_string(), "add service spare");
+    EXPECT_EQ(differences[1].as_string(), "add zone c");
+}
+
+TEST_F(CtlTest, Ctl_Check_ListsAllErrors)
+{
+    write("wrong.json", R"({"zones": [{"nam": "c"}], "services": [{"name": "s", "kind": "x"}]})");
+    EXPECT_EQ(run({ "check", m_folder.string() }), ExitCode::BadInput);
+    EXPECT_EQ(json::parse(m_output).at("findings").as_array().size(), 2U);
+}
+
+TEST_F(CtlTest, Ctl_CheckRecord_ComparesWithTheRecordInForce)
+{
+    const auto record = [](int version, int timeoutMs) {
+        return R"({"version":)" + std::to_string(version) + R"(,"services":[{"name":"s"}],"routes":[
+            {"name":"r","host":"h","path_prefix":"/a/","kind":"safe","service":"s","max_attempts":2,
+             "target_latency_ms":100,"timeout_ms":)"
+            + std::to_string(timeoutMs) + "}]}";
+    };
+    write("now.json", record(7, 2000));
+    write("next.json", record(8, 50));
+    EXPECT_EQ(run({ "check-record", (m_folder / "next.json").string(),
+                    "--in-force=" + (m_folder / "now.json").string() }),
+              ExitCode::BadInput);
+    const auto report = json::parse(m_output);
+    ASSERT_EQ(report.at("findings").as_array().size(), 1U);
+    EXPECT_EQ(report.at("findings").at(0).at("kind").as_string(), "contradiction");
+    EXPECT_EQ(report.at("differences").as_array().size(), 1U);
+}
--- a/src/version/configuration/declarations.h
+++ b/src/version/configuration/declarations.h
@@ -22,6 +22,13 @@
 //! is an error.
 auto parseDeclarations(std::span<const DeclarationFile> files) -> absl::StatusOr<Configuration>;
 
+//! All problems of \a files, each with its file, entry and field; empty if they are valid.
+auto declarationProblems(std::span<const DeclarationFile> files) -> std::vector<std::string>;
+
+//! The ".json" files of \a folder, sorted by name. A folder without any is an error.
+auto readDeclarationFiles(const std::filesystem::path &folder)
+    -> absl::StatusOr<std::vector<DeclarationFile>>;
+
 //! Reads all ".json" files of \a folder, sorted by name. A folder without any is an error.
 auto loadDeclarations(const std::filesystem::path &folder) -> absl::StatusOr<Configuration>;
 
--- a/src/version/configuration/internal/declarations.cpp
+++ b/src/version/configuration/internal/declarations.cpp
@@ -16,16 +16,25 @@
 
 constexpr auto FILE_SUFFIX = ".json";
 
+//! All problems of the files read so far.
+using Problems = std::vector<absl::Status>;
+
+auto keepProblem(absl::Status status, Problems &problems) -> void
+{
+    if (!status.ok())
+        problems.push_back(std::move(status));
+}
+
 template <typename Object, typename Parse>
 auto readObjects(base::ObjectReader &file, std::string_view field, std::string_view nameField,
-                 std::map<std::string, Object> &objects, Parse parse) -> void
+                 std::map<std::string, Object> &objects, Problems &problems, Parse parse) -> void
 {
     for (auto &reader : file.objects(field)) {
         auto object = parse(reader);
         auto name = reader.string(nameField, "");
         if (!name.empty() && objects.contains(name))
             reader.fail(nameField, base::concat("names \"", name, "\", which is declared already"));
-        file.absorb(reader);
+        keepProblem(reader.finish(), problems);
         objects.emplace(std::move(name), std::move(object));
     }
 }
@@ -40,21 +49,24 @@
     configuration.presetInForce = name;
 }
 
-auto readFile(const DeclarationFile &declaration, Configuration &configuration) -> absl::Status
+auto readFile(const DeclarationFile &declaration, Configuration &configuration, Problems &problems)
+    -> void
 {
     const auto value = base::parseJson(declaration.text);
-    if (!value.ok())
-        return absl::InvalidArgumentError(
-            base::concat(declaration.name, ": ", value.status().message()));
+    if (!value.ok()) {
+        problems.push_back(absl::InvalidArgumentError(
+            base::concat(declaration.name, ": ", value.status().message())));
+        return;
+    }
     auto file = base::ObjectReader(*value, declaration.name);
-    readObjects(file, "workspaces", "name", configuration.workspaces, parseWorkspace);
-    readObjects(file, "keys", "id", configuration.keys, parseKey);
-    readObjects(file, "services", "name", configuration.services, parseService);
-    readObjects(file, "routes", "name", configuration.routes, parseRoute);
-    readObjects(file, "zones", "name", configuration.zones, parseZone);
-    readObjects(file, "presets", "name", configuration.presets, parsePreset);
+    readObjects(file, "workspaces", "name", configuration.workspaces, problems, parseWorkspace);
+    readObjects(file, "keys", "id", configuration.keys, problems, parseKey);
+    readObjects(file, "services", "name", configuration.services, problems, parseService);
+    readObjects(file, "routes", "name", configuration.routes, problems, parseRoute);
+    readObjects(file, "zones", "name", configuration.zones, problems, parseZone);
+    readObjects(file, "presets", "name", configuration.presets, problems, parsePreset);
     readPresetInForce(file, configuration);
-    return file.finish();
+    keepProblem(file.finish(), problems);
 }
 
 auto readTextFile(const std::filesystem::path &path) -> std::string
@@ -70,11 +82,11 @@
 auto parseDeclarations(std::span<const DeclarationFile> files) -> absl::StatusOr<Configuration>
 {
     auto configuration = Configuration();
-    for (const auto &file : files) {
-        const auto status = readFile(file, configuration);
-        if (!status.ok())
-            return status;
-    }
+    auto problems = Problems();
+    for (const auto &file : files)
+        readFile(file, configuration, problems);
+    if (!problems.empty())
+        return problems.front();
     const auto references = checkReferences(configuration);
     if (!references.ok())
         return references;
@@ -82,7 +94,23 @@
     return configuration;
 }
 
-auto loadDeclarations(const std::filesystem::path &folder) -> absl::StatusOr<Configuration>
+auto declarationProblems(std::span<const DeclarationFile> files) -> std::vector<std::string>
+{
+    auto configuration = Configuration();
+    auto problems = Problems();
+    for (const auto &file : files)
+        readFile(file, configuration, problems);
+    // References of entries that could not be read would only repeat their problems.
+    if (problems.empty())
+        keepProblem(checkReferences(configuration), problems);
+    auto texts = std::vector<std::string>();
+    for (const auto &problem : problems)
+        texts.emplace_back(problem.message());
+    return texts;
+}
+
+auto readDeclarationFiles(const std::filesystem::path &folder)
+    -> absl::StatusOr<std::vector<DeclarationFile>>
 {
     auto error = std::error_code();
     auto paths = std::vector<std::filesystem::path>();
@@ -98,7 +126,13 @@
     auto files = std::vector<DeclarationFile>();
     for (const auto &path : paths)
         files.push_back({ path.filename().string(), readTextFile(path) });
-    return parseDeclarations(files);
+    return files;
+}
+
+auto loadDeclarations(const std::filesystem::path &folder) -> absl::StatusOr<Configuration>
+{
+    const auto files = readDeclarationFiles(folder);
+    return files.ok() ? parseDeclarations(*files) : files.status();
 }
 
 } // namespace nutmegplank::version::configuration
