Refuse what a stopping machine cannot finish

Cause: a machine took every call until 0.8 of grace_s and ended at 0.95 of it. Streams of 4 s that came 3.6 to 6.4 s after SIGTERM, from callers that keep the directory's answer, were passed on and cut.

Change: ShutdownGate decides whether a call of a stopping process can end in time, by the longest of the newest calls of its route and of those under way, and by how long its caller and its route wait. The rest gets 503 at once, on a connection that closes. Held submissions and waiting reads end while their answer can still be sent.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -47,6 +47,12 @@
 //! the last known configuration holds.
 constexpr auto RESUME_TIME = std::chrono::milliseconds(400);
 constexpr auto RESUME_CHECK = std::chrono::milliseconds(5);
+//! Callers whose machine stops go to another one at once.
+constexpr auto STOPPING_RETRY = std::chrono::milliseconds(50);
+//! The log answers within this in calm times: a result is read, or a batch's end written.
+constexpr auto BATCH_CALL_TIME = std::chrono::milliseconds(700);
+//! All tries to write a batch, and the wait for an append without an answer.
+constexpr auto LONGEST_SUBMISSION = std::chrono::milliseconds(4600);
 constexpr auto STATUS_OK = 200U;
 constexpr auto FIRST_ERROR = 400U;
 
@@ -70,6 +76,28 @@
     return { RefusalCode::Unknown, result.detail };
 }
 
+auto mayHaveRun(request::forward::ForwardOutcome end) -> bool
+{
+    switch (end) {
+    case request::forward::ForwardOutcome::Answered:
+    case request::forward::ForwardOutcome::Unknown:
+    case request::forward::ForwardOutcome::Expired:
+    case request::forward::ForwardOutcome::CallerGone:
+        return true;
+    case request::forward::ForwardOutcome::NotRun:
+    case request::forward::ForwardOutcome::Quarantined:
+    case request::forward::ForwardOutcome::CannotResume:
+        return false;
+    }
+    return false;
+}
+
+//! Durations of submissions are apart from those of other requests.
+auto submissionsOf(const version::routing::Route &route) -> std::string
+{
+    return base::concat("batch/", route.name);
+}
+
 } // namespace
 
 CallService::CallService(CallServiceParts parts)
@@ -133,6 +161,25 @@
     return std::nullopt;
 }
 
+auto CallService::patienceOf(const Exchange &exchange, const version::routing::Route &route) const
+    -> base::Duration
+{
+    if (exchange.call.timeLeft.count() == 0)
+        return route.timeout;
+    return std::min(route.timeout, exchange.call.timeLeft);
+}
+
+auto CallService::isTooLate(const Exchange &exchange, const version::routing::Route *route) const
+    -> bool
+{
+    const auto now = process::clock::now();
+    if (route == nullptr)
+        return !m_parts.shutdown.hasTimeFor(BATCH_CALL_TIME, now);
+    if (route->kind == RouteKind::Rollout)
+        return !m_parts.shutdown.maySend(submissionsOf(*route), LONGEST_SUBMISSION, now);
+    return !m_parts.shutdown.maySend(route->name, patienceOf(exchange, *route), now);
+}
+
 auto CallService::handle(http::Request request, http::IHttpResponder &responder)
     -> asio::awaitable<void>
 {
@@ -152,7 +199,9 @@
             co_return;
         }
     }
-    const auto refusal = admit(exchange, route);
+    auto refusal = admit(exchange, route);
+    if (!refusal.has_value() && isTooLate(exchange, route))
+        refusal = Refusal { RefusalCode::Stopping, "this machine stops", STOPPING_RETRY };
     if (refusal.has_value()) {
         auto answer = refuse(exchange, *refusal);
         co_await responder.respond(std::move(answer));
@@ -184,15 +233,16 @@
     call.route = route;
     call.resumesStream = exchange.call.resumesStream;
     call.streamBegunBy = exchange.call.streamBegunBy;
-    auto patience = route.timeout;
-    if (exchange.call.timeLeft.count() > 0)
-        patience = std::min(patience, exchange.call.timeLeft);
-    call.deadline = exchange.receivedAt + patience;
+    call.deadline = exchange.receivedAt + patienceOf(exchange, route);
     call.request = m_parts.protocol.toServerRequest(std::move(request));
     const auto handle = std::make_shared<request::forward::ForwardHandle>();
     responder.onCallerGone([handle] { handle->cancel(); });
     auto sink = ResponderSink(responder, m_parts.protocol);
+    auto taken = m_parts.shutdown.take(route.name, exchange.receivedAt);
     auto result = co_await m_parts.forwarder.forward(std::move(call), handle, sink);
+    if (mayHaveRun(result.end))
+        taken.finish(result.end == request::forward::ForwardOutcome::Answered && result.complete,
+                     process::clock::now());
     const auto name = base::nameOf(request::forward::FORWARD_OUTCOME_NAMES, result.end);
     if (result.end == request::forward::ForwardOutcome::CallerGone) {
         noteAnswer(exchange, 0, name, result.server, result.attempts);
@@ -235,11 +285,9 @@
     submission->head.submittedMs = m_parts.trueTime.milliseconds(exchange.receivedAt);
     const auto batch = std::make_shared<const version::batch::Submission>(std::move(*submission));
     const auto relayed = Relay::wasRelayed(request);
-    auto patience = route.timeout;
-    if (exchange.call.timeLeft.count() > 0)
-        patience = std::min(patience, exchange.call.timeLeft);
-    const auto holdUntil =
-        exchange.receivedAt + (relayed ? base::Duration(0) : patience / HOLD_PART);
+    const auto holdUntil = exchange.receivedAt
+        + (relayed ? base::Duration(0) : patienceOf(exchange, route) / HOLD_PART);
+    auto taken = m_parts.shutdown.take(submissionsOf(route), exchange.receivedAt);
     auto mayBeKept = false;
     auto detail = std::string("the log does not answer");
     auto nextRelay = exchange.receivedAt;
@@ -248,8 +296,10 @@
         if (m_parts.batches.reachable()) {
             const auto result = co_await m_parts.batches.keep(batch);
             noteKept(exchange, result);
-            if (result.outcome == AppendOutcome::Done)
+            if (result.outcome == AppendOutcome::Done) {
+                taken.finish(true, process::clock::now());
                 co_return m_parts.protocol.writeAccepted(id);
+            }
             mayBeKept = mayBeKept || result.outcome == AppendOutcome::Unknown;
             detail = result.detail;
         }
@@ -266,7 +316,7 @@
         // What was perhaps kept shows up in the index.
         if (m_parts.batches.log().find(id) != nullptr)
             co_return m_parts.protocol.writeAccepted(id);
-        if (process::clock::now() >= holdUntil)
+        if (process::clock::now() >= holdUntil || isTooLate(exchange, &route))
             break;
         timer.expires_after(HOLD_CHECK);
         co_await timer.async_wait(USE_TUPLE);
@@ -321,11 +371,15 @@
 auto CallService::readResults(const Exchange &exchange) -> asio::awaitable<Answer>
 {
     const auto &call = exchange.call;
-    const auto until = exchange.receivedAt + std::min<base::Duration>(call.wait, LONGEST_WAIT);
+    const auto wanted = exchange.receivedAt + std::min<base::Duration>(call.wait, LONGEST_WAIT);
+    // Time to load the results is left.
+    const auto waitUntil = [&] {
+        return m_parts.shutdown.limit(wanted + BATCH_CALL_TIME) - BATCH_CALL_TIME;
+    };
     const auto *batch = m_parts.batches.log().find(call.batchId);
     while (batch != nullptr && batch->listedCount <= call.position
-           && process::clock::now() < until) {
-        co_await m_parts.batches.waitForChange(call.batchId, until);
+           && process::clock::now() < waitUntil()) {
+        co_await m_parts.batches.waitForChange(call.batchId, waitUntil());
         batch = m_parts.batches.log().find(call.batchId);
     }
     if (batch == nullptr)
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -10,6 +10,7 @@
 #include "process/metrics/metrics.h"
 #include "request/call/call.h"
 #include "request/forward/forwarder.h"
+#include "request/shutdown/shutdowngate.h"
 #include "version/routing/routingtable.h"
 
 namespace nutmegplank::app::node {
@@ -22,6 +23,7 @@
     request::forward::Forwarder &forwarder;
     BatchStore &batches;
     Relay &relay;
+    request::shutdown::ShutdownGate &shutdown;
     process::clock::TrueTime &trueTime;
     process::metrics::Registry &metrics;
     std::function<version::routing::RoutingTablePtr()> routing;
@@ -55,6 +57,10 @@
 
     auto admit(Exchange &exchange, const version::routing::Route *route) const
         -> std::optional<request::call::Refusal>;
+    //! Whether a stopping process must leave the call to another one.
+    auto isTooLate(const Exchange &exchange, const version::routing::Route *route) const -> bool;
+    auto patienceOf(const Exchange &exchange, const version::routing::Route &route) const
+        -> base::Duration;
     auto forward(Exchange exchange, connection::http::Request request,
                  const version::routing::Route &route, connection::http::IHttpResponder &responder)
         -> boost::asio::awaitable<void>;
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -37,8 +37,8 @@
 //! Share of the time until SIGKILL for which a process in charge waits for a log that is away; then
 //! a second is left to hand over.
 constexpr auto DUTY_SHARE = 0.65;
-//! Share after which a leaving process takes nothing new, also from
-//! callers that still use their open connections.
+//! Share after which a leaving process takes nothing new, also from callers that still use their
+//! open connections; until then it takes what can end in time.
 constexpr auto TAKING_SHARE = 0.8;
 //! Share after which it ends at the latest; what it took must be answered before.
 constexpr auto GRACE_SHARE = 0.95;
@@ -125,8 +125,8 @@
                     [this] { return m_membership.memberCount(process::clock::now()); },
                     [this](const std::string &workspace) { m_conductor.countRun(workspace); } })
     , m_relay([this] { return m_membership.peers(process::clock::now()); }, m_metrics)
-    , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_relay, m_trueTime,
-                m_metrics, [this] { return m_routing.load(); },
+    , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_relay,
+                m_shutdownGate, m_trueTime, m_metrics, [this] { return m_routing.load(); },
                 [this] { return m_serverFollower.complete(); },
                 [this] {
                     checkPause(process::clock::now());
@@ -427,6 +427,8 @@
     m_terminating = true;
     m_membership.setServing(false);
     m_callerServer->announceClose();
+    const auto stay = std::chrono::duration_cast<base::Duration>(m_settings.grace * GRACE_SHARE);
+    m_shutdownGate.begin(process::clock::now() + stay);
     asio::co_spawn(m_runtime.context(), shutDown(), logging::LogTaskFailure("node.shutdown"));
 }
 
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -85,6 +85,7 @@
     StreamOrigins m_streamOrigins;
     request::forward::Forwarder m_forwarder;
     Relay m_relay;
+    request::shutdown::ShutdownGate m_shutdownGate;
     CallService m_calls;
     std::unique_ptr<connection::http::HttpServer> m_callerServer;
     std::unique_ptr<connection::http::HttpServer> m_directoryServer;
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -60,6 +60,7 @@
     case RefusalCode::Unsure:
     case RefusalCode::CannotResume:
     case RefusalCode::Quarantined:
+    case RefusalCode::Stopping:
         return 503;
     }
     return 503;
--- a/src/request/call/call.h
+++ b/src/request/call/call.h
@@ -57,9 +57,10 @@
     Expired,
     CannotResume, //!< No backend server may go on with the stream.
     Quarantined,  //!< Quarantined because backend servers crash when they run it.
+    Stopping,     //!< This process stops before the call could end; not run.
 };
 
-constexpr auto REFUSAL_CODE_NAMES = base::EnumTable<RefusalCode, 12> { {
+constexpr auto REFUSAL_CODE_NAMES = base::EnumTable<RefusalCode, 13> { {
     { RefusalCode::NotReady, "not_ready" },
     { RefusalCode::NoRoute, "no_route" },
     { RefusalCode::UnknownKey, "unknown_key" },
@@ -72,6 +73,7 @@
     { RefusalCode::Expired, "expired" },
     { RefusalCode::CannotResume, "cannot_resume" },
     { RefusalCode::Quarantined, "condemned" },
+    { RefusalCode::Stopping, "stopping" },
 } };
 
 struct Refusal
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -648,6 +648,125 @@
         ran = {run["id"] for server in self.world.plains for run in server.requests}
         self.assertEqual([request for request, answer in outcome if answer is None and request in ran], [])
 
+    def test_stopping_machine_cuts_no_stream_that_it_took(self):
+        """Callers keep the directory's answer for three times its time. Short requests are served all the while."""
+        for engine in self.world.engines:
+            engine.events, engine.pace = 20, 0.2
+        leaving = self.world.nodes[0]
+        lock, ended, short, threads = threading.Lock(), [], [], []
+
+        def stream(number):
+            request, sent_at = f"stream{number}", time.monotonic()
+            connection = http.client.HTTPConnection(leaving.ip, leaving.ports["front"], timeout=9)
+            try:
+                connection.connect()
+            except OSError:
+                return
+            entry = {"id": request, "sent": sent_at, "status": 0, "complete": False, "closes": None}
+            try:
+                connection.request("POST", "/talks/1", b"prompt", {
+                    "Host": HOST, "Authorization": f"Bearer {KEY}", "X-Request-Id": request, "X-Deadline-Ms": "9000"})
+                response = connection.getresponse()
+                entry["status"], entry["closes"] = response.status, response.getheader("Connection")
+                entry["retry_after"], entry["head"] = response.getheader("Retry-After"), time.monotonic()
+                response.read()
+                entry["complete"] = True
+            except (OSError, http.client.HTTPException):
+                pass
+            connection.close()
+            with lock:
+                ended.append(entry)
+
+        def begin(number):
+            threads.append(threading.Thread(target=stream, args=(number,)))
+            threads[-1].start()
+        for number in range(10):
+            begin(number)
+        time.sleep(4.5)
+        leaving.signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        while time.monotonic() - stopped_at < 6.2:
+            begin(len(threads))
+            try:
+                short.append(leaving.call("POST", "/orders/1", headers={"X-Deadline-Ms": "1000"})[0])
+            except OSError:
+                short.append("cut")
+            time.sleep(0.1)
+        self.assertEqual(leaving.popen.wait(GRACE), 0)
+        for thread in threads:
+            thread.join(10)
+        ran = {run["id"] for engine in self.world.engines for run in engine.requests}
+        late = [entry for entry in ended if entry["sent"] - stopped_at > 0]
+        print("streams after SIGTERM:", collections.Counter((entry["status"], entry["complete"]) for entry in late))
+        self.assertEqual([entry for entry in ended if entry["id"] in ran and not entry["complete"]], [])
+        refused = [entry for entry in late if entry["status"] == 503]
+        self.assertTrue(refused)
+        self.assertEqual([entry for entry in refused if entry["id"] in ran], [])
+        for entry in refused:
+            self.assertLess(entry["head"] - entry["sent"], 0.5)
+            self.assertEqual(entry["closes"], "close")
+            self.assertLess(float(entry["retry_after"]), 0.2)
+        self.assertTrue([entry for entry in late if entry["status"] == 200])
+        self.assertEqual(set(short), {200})
+
+    def check_batch_calls_while_stopping(self, during_stop):
+        """Submissions and waiting reads at a machine that stops, all the while; none may lose its answer."""
+        for engine in self.world.engines:
+            engine.pace = 2.0
+        leaving = next(node for node in self.world.nodes if node is not self.world.holder())
+        self.assertEqual(self.world.submit(leaving, "first", 3), 202)
+        lock, outcome, threads = threading.Lock(), [], []
+
+        def call(kind, number):
+            connection = http.client.HTTPConnection(leaving.ip, leaving.ports["front"], timeout=12)
+            try:
+                connection.connect()
+            except OSError:
+                return
+            headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "X-Request-Id": f"{kind}{number}"}
+            try:
+                if kind == "submit":
+                    headers["X-Deadline-Ms"] = "20000"
+                    connection.request("POST", f"/steps/{kind}{number}", self.world.batch(3, 1, 10 + 3 * number), headers)
+                else:
+                    headers["X-Wait-Ms"] = "1000"
+                    connection.request("GET", "/v1/lots/first?after=0", headers=headers)
+                answer = connection.getresponse()
+                answer.read()
+                ended = (kind, answer.status)
+            except (OSError, http.client.HTTPException):
+                ended = (kind, "cut")
+            connection.close()
+            with lock:
+                outcome.append(ended)
+        during_stop()
+        leaving.signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        while time.monotonic() - stopped_at < 6.6:
+            for kind in ("submit", "read"):
+                threads.append(threading.Thread(target=call, args=(kind, len(threads))))
+                threads[-1].start()
+            time.sleep(0.3)
+        self.assertEqual(leaving.popen.wait(GRACE), 0)
+        for thread in threads:
+            thread.join(12)
+        counts = collections.Counter(outcome)
+        print("batch calls:", counts)
+        self.assertFalse([ended for ended in counts if ended[1] == "cut"])
+        return counts
+
+    def test_stopping_machine_answers_batch_calls(self):
+        counts = self.check_batch_calls_while_stopping(lambda: None)
+        self.assertEqual({status for kind, status in counts if kind == "submit"}, {202})
+        self.assertEqual({status for kind, status in counts if kind == "read"}, {200})
+
+    def test_stopping_machine_answers_batch_calls_while_the_store_is_away(self):
+        def lose_store():
+            self.world.store.mode = "silent"
+        counts = self.check_batch_calls_while_stopping(lose_store)
+        self.assertIn(("submit", 503), counts)
+        self.assertNotIn(("submit", 202), counts)
+
     def test_return_of_the_store_is_noticed_while_a_caller_waits(self):
         self.world.store.mode = "silent"
         time.sleep(3)
