Bound what is held for callers and servers that read slowly

Cause: a whole answer was held until its caller had read it, without a bound in all; a request was copied up to three times for each attempt, and any number of large ones went to one server at a time.

Change: answers are held within a quarter of the machine's memory; reading from servers waits while there is no room, and callers that leave answers unread are disconnected, those with the most bytes times time first. A large success of known length is passed on as it arrives. Large requests under way at a server stay within this machine's share of 32 MB. A request's body is held once. The answers of relayed calls are bounded.

Also: a connection whose end was announced stayed open for the idle time, as GCC 12 awaits the right side of && in a loop's condition regardless of the left one.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -1,5 +1,6 @@
 #include "app/node/callservice.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <boost/asio.hpp>
 
 #include "app/node/respondersink.h"
@@ -8,6 +9,7 @@
 #include "process/clock/clock.h"
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
+#include "request/forward/answerroom.h"
 
 namespace nutmegplank::app::node {
 
@@ -31,6 +33,8 @@
 constexpr auto LATE_APPEND = std::chrono::milliseconds(700);
 //! When a caller that found no free server may come back: one request's duration.
 constexpr auto SERVER_RETRY = std::chrono::milliseconds(60);
+//! Callers of results that are refused ask again at another machine.
+constexpr auto ROOM_TIME = std::chrono::milliseconds(2500);
 constexpr auto STORE_RETRY = std::chrono::milliseconds(1500);
 //! A batch is held for this part of its caller's time: enough for an outage of some seconds, and
 //! the caller can still come back once.
@@ -170,7 +174,25 @@
     } else {
         answer = co_await batchCall(exchange);
     }
+    auto held = m_parts.heldAnswers.newHolder();
+    const auto hasRoom = co_await request::forward::waitForRoom(
+        m_parts.heldAnswers, held, answer.body.size(), exchange.receivedAt + ROOM_TIME);
+    if (!hasRoom)
+        answer = refuse(exchange, { RefusalCode::Unsure, "no room for the answer", STORE_RETRY });
     noteAnswer(exchange, answer.status, "batch call");
+    co_await send(std::move(answer), std::move(held), responder);
+}
+
+auto CallService::send(Answer answer, process::memory::HeldBytes held,
+                       http::IHttpResponder &responder) -> asio::awaitable<void>
+{
+    const auto writing = m_parts.heldAnswers.beginWriting(
+        held.bytes(), process::clock::now(), [&responder, bytes = held.bytes()] {
+            logging::warning("call.unread_answer_dropped", { { "bytes", bytes } });
+            responder.abort();
+        });
+    const auto endWriting =
+        absl::MakeCleanup([this, writing] { m_parts.heldAnswers.endWriting(writing); });
     co_await responder.respond(std::move(answer));
 }
 
@@ -210,7 +232,8 @@
     }
     if (result.end == request::forward::ForwardOutcome::Answered) {
         noteAnswer(exchange, result.response.status, name, result.server, result.attempts);
-        co_await responder.respond(m_parts.protocol.toCallerResponse(std::move(result.response)));
+        co_await send(m_parts.protocol.toCallerResponse(std::move(result.response)),
+                      std::move(result.held), responder);
         co_return;
     }
     auto answer = refuse(exchange, refusalFor(result));
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -7,6 +7,7 @@
 #include "app/node/relay.h"
 #include "connection/http/ihttpresponder.h"
 #include "process/clock/truetime.h"
+#include "process/memory/heldanswers.h"
 #include "process/metrics/metrics.h"
 #include "request/call/call.h"
 #include "request/forward/forwarder.h"
@@ -22,6 +23,7 @@
     request::forward::Forwarder &forwarder;
     BatchStore &batches;
     Relay &relay;
+    process::memory::HeldAnswers &heldAnswers;
     process::clock::TrueTime &trueTime;
     process::metrics::Registry &metrics;
     std::function<version::routing::RoutingTablePtr()> routing;
@@ -58,6 +60,9 @@
     auto forward(Exchange exchange, connection::http::Request request,
                  const version::routing::Route &route, connection::http::IHttpResponder &responder)
         -> boost::asio::awaitable<void>;
+    //! Writes \a answer, whose bytes are \a held, to its caller.
+    auto send(Answer answer, process::memory::HeldBytes held,
+              connection::http::IHttpResponder &responder) -> boost::asio::awaitable<void>;
     auto submit(const Exchange &exchange, const connection::http::Request &request,
                 const version::routing::Route &route, HandlePtr handle)
         -> boost::asio::awaitable<Answer>;
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -91,6 +91,11 @@
                 m_servers.retain(keys, m_serverFollower.reachability().recoveredAt(), now);
             } })
     , m_batches(m_runtime.context(), m_store, m_incarnation, m_metrics)
+    , m_heldAnswers(m_settings.memoryBytes)
+    , m_heldAnswerBytes(m_metrics.gauge("nutmegplank_held_answer_bytes",
+                                        "Answers that wait for their callers to read them."))
+    , m_unreadAnswers(m_metrics.gauge("nutmegplank_unread_answers_dropped",
+                                      "Callers disconnected because they left answers unread."))
     , m_membership(m_runtime.context(), m_store, m_settings, m_incarnation, m_trueTime, m_suspects,
                    m_health.limits())
     , m_conductor({ m_runtime.context(),
@@ -120,13 +125,13 @@
                       { [this](base::TimePoint now) { return m_conductor.isInCharge(now); },
                         [this] { return refreshServers(); } })
     , m_forwarder({ m_runtime.context(), m_servers, m_health, m_pools, m_serverProtocol, m_metrics,
-                    m_suspects, m_streamOrigins, m_settings.node, m_settings.zone,
+                    m_heldAnswers, m_suspects, m_streamOrigins, m_settings.node, m_settings.zone,
                     [this] { return m_routing.load(); }, [] { return process::clock::now(); },
                     [this] { return m_membership.memberCount(process::clock::now()); },
                     [this](const std::string &workspace) { m_conductor.countRun(workspace); } })
     , m_relay([this] { return m_membership.peers(process::clock::now()); }, m_metrics)
-    , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_relay, m_trueTime,
-                m_metrics, [this] { return m_routing.load(); },
+    , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_relay, m_heldAnswers,
+                m_trueTime, m_metrics, [this] { return m_routing.load(); },
                 [this] { return m_serverFollower.complete(); },
                 [this] {
                     checkPause(process::clock::now());
@@ -408,6 +413,8 @@
         logging::flush();
         m_servers.expire(now);
         m_suspects.expire(now);
+        m_heldAnswerBytes.set(static_cast<double>(m_heldAnswers.budget().held()));
+        m_unreadAnswers.set(static_cast<double>(m_heldAnswers.disconnectedCount()));
         if (m_health.limits().needsUpdate(now))
             m_health.limits().update(m_membership.memberNames(now), now);
         m_membership.setServing(isReady());
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -80,6 +80,9 @@
     version::journal::KeyedFollower m_operatorFollower;
     version::journal::KeyedFollower m_serverFollower;
     BatchStore m_batches;
+    process::memory::HeldAnswers m_heldAnswers;
+    process::metrics::Gauge &m_heldAnswerBytes;
+    process::metrics::Gauge &m_unreadAnswers;
     Membership m_membership;
     Conductor m_conductor;
     StreamOrigins m_streamOrigins;
--- a/src/app/node/relay.cpp
+++ b/src/app/node/relay.cpp
@@ -17,6 +17,8 @@
 //! The other machine appends twice, some milliseconds each.
 constexpr auto RELAY_TIME = std::chrono::milliseconds(1500);
 constexpr auto CONNECT_TIME = std::chrono::milliseconds(300);
+//! A relayed call is answered with a line.
+constexpr auto MAX_ANSWER_BYTES = std::uint64_t(64 * 1024);
 constexpr auto FIRST_ERROR = 300U;
 constexpr auto STATUS_UNAVAILABLE = 503U;
 
@@ -45,6 +47,7 @@
     m_relayed.add();
     auto options = http::ConnectOptions();
     options.timeout = CONNECT_TIME;
+    options.bodyBytes = MAX_ANSWER_BYTES;
     auto connection = co_await http::connect(peer, options);
     if (!connection.ok()) {
         logging::info("relay.unreachable",
--- a/src/connection/http/internal/httpsession.cpp
+++ b/src/connection/http/internal/httpsession.cpp
@@ -17,6 +17,7 @@
 namespace beast = boost::beast;
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
+constexpr auto HTTP_1_1 = 11U;
 constexpr auto FIRST_READ_BYTES = std::size_t(4096);
 //! Space beside the head for parts of the body, and for a chunk's or trailer's line.
 constexpr auto BODY_BUFFER_BYTES = std::size_t(64 * 1024);
@@ -209,7 +210,11 @@
 auto HttpSession<Stream>::run() -> asio::awaitable<void>
 {
     registerWaker();
-    while (m_keepAlive && co_await waitForFirstByte()) {
+    while (m_keepAlive) {
+        // Not in the loop's condition: GCC 12 would await it whatever m_keepAlive is.
+        const auto hasFirstByte = co_await waitForFirstByte();
+        if (!hasFirstByte)
+            break;
         m_started = false;
         m_finished = false;
         ++m_host->exchanges;
@@ -262,8 +267,11 @@
     copyHeaders(head.headers, message);
     if (m_host->draining || m_host->closing)
         m_keepAlive = false;
+    // Callers of HTTP/1.0 know no chunks: the answer ends with its connection.
+    const auto chunked = m_version >= HTTP_1_1;
+    m_keepAlive = m_keepAlive && chunked;
     message.keep_alive(m_keepAlive);
-    message.chunked(true);
+    message.chunked(chunked);
     m_started = true;
     auto serializer = beast::http::response_serializer<beast::http::empty_body>(message);
     tcp().expires_after(m_host->limits.load()->writeTime);
@@ -277,14 +285,23 @@
     if (data.empty())
         co_return absl::OkStatus();
     tcp().expires_after(m_host->limits.load()->writeTime);
-    const auto buffer = beast::http::make_chunk(asio::const_buffer(data.data(), data.size()));
-    auto [error, bytes] = co_await asio::async_write(m_stream, buffer, USE_TUPLE);
+    const auto plain = asio::const_buffer(data.data(), data.size());
+    if (m_version < HTTP_1_1) {
+        auto [error, bytes] = co_await asio::async_write(m_stream, plain, USE_TUPLE);
+        co_return error ? writeError(error) : absl::OkStatus();
+    }
+    auto [error, bytes] =
+        co_await asio::async_write(m_stream, beast::http::make_chunk(plain), USE_TUPLE);
     co_return error ? writeError(error) : absl::OkStatus();
 }
 
 template <typename Stream>
 auto HttpSession<Stream>::endStream() -> asio::awaitable<absl::Status>
 {
+    if (m_version < HTTP_1_1) {
+        m_finished = true;
+        co_return absl::OkStatus();
+    }
     tcp().expires_after(m_host->limits.load()->writeTime);
     auto [error, bytes] =
         co_await asio::async_write(m_stream, beast::http::make_chunk_last(), USE_TUPLE);
--- a/src/request/forward/forwardcall.h
+++ b/src/request/forward/forwardcall.h
@@ -6,6 +6,7 @@
 #include "base/enumtable.h"
 #include "base/timepoint.h"
 #include "connection/http/message.h"
+#include "process/memory/heldbytes.h"
 #include "version/routing/routingtable.h"
 
 namespace nutmegplank::request::forward {
@@ -48,6 +49,7 @@
 {
     ForwardOutcome end = ForwardOutcome::NotRun;
     connection::http::Response response; //!< Only when Answered; without a body when streamed.
+    process::memory::HeldBytes held;     //!< The bytes of the body.
     bool streamed = false;               //!< The body was written to the sink.
     bool complete = true;                //!< False when a streamed body was cut off.
     std::string detail;
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -6,9 +6,9 @@
 #include "base/status.h"
 #include "base/text.h"
 #include "process/logging/logging.h"
+#include "request/forward/answerroom.h"
 #include "request/forward/servicechoice.h"
 #include "request/serverprotocol/headobservation.h"
-#include "request/serverprotocol/ownresponse.h"
 
 namespace nutmegplank::request::forward {
 
@@ -39,6 +39,10 @@
 constexpr auto ANSWER_MARGIN = std::chrono::milliseconds(15);
 //! The smoothed latency moves by the difference to a new sample divided by this.
 constexpr auto LATENCY_SMOOTHING = 5;
+//! A whole answer of known length is passed on as it arrives from this size on. Until then it can
+//! be replaced by that of another attempt.
+constexpr auto PASS_ON_BYTES = std::size_t(256 * 1024);
+constexpr auto FIRST_REDIRECTION = 300U;
 constexpr auto SERVER_ERROR = 500U;
 
 auto isRetryable(const version::routing::Route &route) -> bool
@@ -51,6 +55,16 @@
     return route.kind == RouteKind::Stream;
 }
 
+//! Whether the answer is a success of a server, of known length. One without a length may never
+//! end, which must show before its caller is told of a success.
+auto mayPassOn(const serverprotocol::OwnResponse &own) -> bool
+{
+    const auto &metadata = own.metadata;
+    return metadata.fromServer && !metadata.notRun && !metadata.wrongServer
+        && own.head.status < FIRST_REDIRECTION
+        && !http::headerValue(own.head.headers, "Content-Length").empty();
+}
+
 } // namespace
 
 Forwarder::Forwarder(ForwarderDependencies dependencies)
@@ -118,7 +132,8 @@
         candidate.sameZone = server->record.zone == m_dependencies.zone;
         candidate.preferred = id == preferredServer;
         candidate.tried = progress.tried.contains(id) || progress.unavailable.contains(id)
-            || !m_streamVersions.maySend(call, *server);
+            || !m_streamVersions.maySend(call, *server)
+            || !m_requestBytes.fits(id, call.request.body.size(), machineCount);
         candidates.push_back(std::move(candidate));
     }
     const auto pickedIndex = pickServer(candidates);
@@ -203,15 +218,20 @@
             const auto failed = attemptResult.response.status >= SERVER_ERROR;
             if (failed && isRetryable(call.route) && !attemptsExhausted && !attemptResult.streamed)
                 continue;
-            if (attemptResult.streamed && !attemptResult.complete)
+            if (isStream(call.route) && attemptResult.streamed && !attemptResult.complete)
                 co_await m_streamVersions.verify(call, *server);
             m_dependencies.poisonRequests.clear(fingerprint);
             result.end = ForwardOutcome::Answered;
             result.response = std::move(attemptResult.response);
+            result.held = std::move(attemptResult.held);
             result.streamed = attemptResult.streamed;
             result.complete = attemptResult.complete;
             co_return result;
         }
+        if (attemptResult.end == AttemptOutcome::NoRoom) {
+            result.end = ForwardOutcome::Unknown;
+            co_return result;
+        }
         const auto lost = attemptResult.end == AttemptOutcome::Lost;
         if (lost && (attemptsExhausted || !isRetryable(call.route))) {
             result.end = m_dependencies.now() + ANSWER_MARGIN >= call.deadline
@@ -243,6 +263,9 @@
     switch (attempt.end) {
     case AttemptOutcome::Answered: {
         m_dependencies.health.noteAnswer(id);
+        // Of an answer that was passed on, the caller's reading took a part.
+        if (attempt.streamed && !isStream(call.route))
+            break;
         auto &smoothed = m_latency[id];
         smoothed =
             smoothed.count() == 0 ? latency : smoothed + (latency - smoothed) / LATENCY_SMOOTHING;
@@ -260,6 +283,7 @@
     case AttemptOutcome::Lost:
         m_dependencies.health.noteLost(id, coldStartRule(server.record.service), now);
         break;
+    case AttemptOutcome::NoRoom:
     case AttemptOutcome::SinkGone:
         break;
     }
@@ -269,12 +293,13 @@
     m_dependencies.onAttemptRun(call.workspace);
 }
 
-auto Forwarder::attempt(const ForwardCall &call, const Server &server, base::TimePoint until,
+auto Forwarder::attempt(ForwardCall &call, const Server &server, base::TimePoint until,
                         ForwardHandle &handle, IAnswerSink &sink) -> asio::awaitable<Attempt>
 {
     const auto &id = server.record.id;
     auto pool = m_dependencies.pools.pool(id, server.record.endpoint);
     ++m_outstanding[id];
+    m_requestBytes.begin(id, call.request.body.size());
     m_dependencies.health.noteStart(id, m_dependencies.now());
     const auto repeatable = isRetryable(call.route) ? connection::backend::Repeatable::Yes
                                                     : connection::backend::Repeatable::No;
@@ -286,11 +311,15 @@
     } else if (!handle.cancelled()) {
         handle.attach(*connection);
         m_attempts.add();
+        // The body may be large: it is lent to the copy that gets an envelope.
+        auto body = std::exchange(call.request.body, std::string());
         auto request = call.request;
+        request.body = std::move(body);
         auto envelope = serverprotocol::Envelope { id, call.workspace };
         envelope.timeLeft = call.deadline - m_dependencies.now();
         m_dependencies.protocol.addEnvelope(request, envelope);
-        result = co_await exchange(call, id, **connection, std::move(request), until, sink);
+        result = co_await exchange(call, id, **connection, request, until, sink);
+        call.request.body = std::move(request.body);
         handle.detach();
         // A second copy of a refusal must not be taken for the answer to a request that runs once.
         const auto isUsable = (result.end == AttemptOutcome::NotRun && isRetryable(call.route))
@@ -304,11 +333,12 @@
         result.end = AttemptOutcome::SinkGone;
     }
     --m_outstanding[id];
+    m_requestBytes.end(id, call.request.body.size());
     co_return result;
 }
 
 auto Forwarder::exchange(const ForwardCall &call, const std::string &serverId,
-                         http::IHttpConnection &connection, http::Request request,
+                         http::IHttpConnection &connection, const http::Request &request,
                          base::TimePoint until, IAnswerSink &sink) -> asio::awaitable<Attempt>
 {
     const auto sentAt = m_dependencies.now();
@@ -321,7 +351,7 @@
         result.end = AttemptOutcome::Lost;
         result.reset = status.code() != absl::StatusCode::kDeadlineExceeded;
         result.detail = base::describe(status);
-        return result;
+        return std::move(result);
     };
     const auto sent = co_await connection.send(request, remainingTime());
     if (!sent.ok())
@@ -330,11 +360,12 @@
                                                              call.requestId, remainingTime);
     if (!response.ok())
         co_return lost(response.status());
-    const auto &metadata = response->metadata;
+    const auto metadata = response->metadata;
+    const auto skippedOthers = response->skippedOthers;
     serverprotocol::noteServerHead({ m_dependencies.servers, m_dependencies.health.limits() },
                                    serverId, metadata, sentAt, m_dependencies.now());
-    auto answer = co_await readAnswer(call, connection, std::move(response->head), until, sink);
-    answer.skippedOthers = response->skippedOthers;
+    auto answer = co_await readAnswer(call, connection, std::move(*response), until, sink);
+    answer.skippedOthers = skippedOthers;
     if ((metadata.notRun || metadata.wrongServer) && answer.end == AttemptOutcome::Answered) {
         answer.end = AttemptOutcome::NotRun;
         answer.detail = base::concat("refused with status ", answer.response.status);
@@ -348,17 +379,19 @@
 }
 
 auto Forwarder::readAnswer(const ForwardCall &call, http::IHttpConnection &connection,
-                           http::Response head, base::TimePoint until, IAnswerSink &sink)
-    -> asio::awaitable<Attempt>
+                           serverprotocol::OwnResponse own, base::TimePoint until,
+                           IAnswerSink &sink) -> asio::awaitable<Attempt>
 {
     // At least 1 ms; the unit is microseconds.
     const auto remainingTime = [&] {
         return std::max(base::Duration(1000), until - m_dependencies.now());
     };
+    const auto canPassOn = mayPassOn(own);
     auto result = Attempt();
     result.end = AttemptOutcome::Answered;
-    result.streamed = isStream(call.route) && head.status < 300;
-    result.response = std::move(head);
+    result.held = m_dependencies.heldAnswers.newHolder();
+    result.streamed = isStream(call.route) && own.head.status < FIRST_REDIRECTION;
+    result.response = std::move(own.head);
     if (result.streamed) {
         const auto headWritten = co_await sink.begin(result.response);
         if (!headWritten.ok()) {
@@ -377,15 +410,36 @@
         }
         if (!part->has_value())
             co_return result;
-        if (!result.streamed) {
-            result.response.body += **part;
-            continue;
+        if (result.streamed) {
+            const auto bodyWritten = co_await sink.write(std::move(**part));
+            if (bodyWritten.ok())
+                continue;
+            result.end = AttemptOutcome::SinkGone;
+            co_return result;
         }
-        const auto bodyWritten = co_await sink.write(std::move(**part));
-        if (!bodyWritten.ok()) {
+        auto &body = result.response.body;
+        const auto hasRoom = co_await waitForRoom(m_dependencies.heldAnswers, result.held,
+                                                  body.size() + (*part)->size(), until);
+        if (!hasRoom) {
+            result.end = AttemptOutcome::NoRoom;
+            result.detail = "no room for the answer";
+            co_return result;
+        }
+        body += **part;
+        if (!canPassOn || body.size() < PASS_ON_BYTES)
+            continue;
+        // There is no other attempt from here on.
+        until = call.deadline;
+        result.streamed = true;
+        auto begun = std::exchange(body, std::string());
+        auto written = co_await sink.begin(result.response);
+        if (written.ok())
+            written = co_await sink.write(std::move(begun));
+        if (!written.ok()) {
             result.end = AttemptOutcome::SinkGone;
             co_return result;
         }
+        result.held.resize(0);
     }
 }
 
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -10,14 +10,17 @@
 
 #include "connection/backend/backendpools.h"
 #include "process/health/serverhealth.h"
+#include "process/memory/heldanswers.h"
 #include "process/metrics/metrics.h"
 #include "process/servers/servertable.h"
 #include "request/forward/forwardcall.h"
 #include "request/forward/forwardhandle.h"
 #include "request/forward/poisonrequestdetector.h"
+#include "request/forward/requestbytes.h"
 #include "request/forward/serverpicker.h"
 #include "request/forward/streamversions.h"
 #include "request/serverprotocol/iserverprotocol.h"
+#include "request/serverprotocol/ownresponse.h"
 #include "version/routing/routingtable.h"
 
 namespace nutmegplank::request::forward {
@@ -42,6 +45,7 @@
     connection::backend::BackendPools &pools;
     const serverprotocol::IServerProtocol &protocol;
     process::metrics::Registry &metrics;
+    process::memory::HeldAnswers &heldAnswers;
     PoisonRequestDetector &poisonRequests;
     IStreamOrigins &streamOrigins;
     std::string node;
@@ -68,15 +72,17 @@
         Answered,
         Unreachable,
         NotRun,
-        Lost, //!< Sent, but no complete answer was received.
+        Lost,   //!< Sent, but no complete answer was received.
+        NoRoom, //!< Sent, but this process had no room for the answer.
         SinkGone,
     };
 
-    static constexpr auto ATTEMPT_OUTCOME_NAMES = base::EnumTable<AttemptOutcome, 5> { {
+    static constexpr auto ATTEMPT_OUTCOME_NAMES = base::EnumTable<AttemptOutcome, 6> { {
         { AttemptOutcome::Answered, "answered" },
         { AttemptOutcome::Unreachable, "unreachable" },
         { AttemptOutcome::NotRun, "not_run" },
         { AttemptOutcome::Lost, "lost" },
+        { AttemptOutcome::NoRoom, "no_room" },
         { AttemptOutcome::SinkGone, "caller_gone" },
     } };
 
@@ -84,6 +90,7 @@
     {
         AttemptOutcome end = AttemptOutcome::Lost;
         connection::http::Response response;
+        process::memory::HeldBytes held; //!< The bytes of the response's body.
         bool streamed = false;
         bool complete = true;
         //! The connection failed, other than by a timeout, before the head of the answer was read,
@@ -107,14 +114,14 @@
         -> std::optional<process::servers::Server>;
     //! Time until a server of \a call has allowance, if only request limits hold it back; else 0.
     auto waitForAllowance(const ForwardCall &call) -> base::Duration;
-    auto attempt(const ForwardCall &call, const process::servers::Server &server,
-                 base::TimePoint until, ForwardHandle &handle, IAnswerSink &sink)
-        -> boost::asio::awaitable<Attempt>;
+    auto attempt(ForwardCall &call, const process::servers::Server &server, base::TimePoint until,
+                 ForwardHandle &handle, IAnswerSink &sink) -> boost::asio::awaitable<Attempt>;
     auto exchange(const ForwardCall &call, const std::string &serverId,
-                  connection::http::IHttpConnection &connection, connection::http::Request request,
-                  base::TimePoint until, IAnswerSink &sink) -> boost::asio::awaitable<Attempt>;
+                  connection::http::IHttpConnection &connection,
+                  const connection::http::Request &request, base::TimePoint until,
+                  IAnswerSink &sink) -> boost::asio::awaitable<Attempt>;
     auto readAnswer(const ForwardCall &call, connection::http::IHttpConnection &connection,
-                    connection::http::Response head, base::TimePoint until, IAnswerSink &sink)
+                    serverprotocol::OwnResponse own, base::TimePoint until, IAnswerSink &sink)
         -> boost::asio::awaitable<Attempt>;
     auto attemptDeadline(const ForwardCall &call, const Progress &progress) const
         -> base::TimePoint;
@@ -124,6 +131,7 @@
 
     ForwarderDependencies m_dependencies;
     StreamVersions m_streamVersions;
+    RequestBytes m_requestBytes;
     std::unordered_map<std::string, std::uint32_t> m_outstanding; //!< By server id.
     std::unordered_map<std::string, base::Duration> m_latency;    //!< By server id, smoothed.
     process::metrics::Counter &m_attempts;
--- a/tests/platformworld/httpd.py
+++ b/tests/platformworld/httpd.py
@@ -24,6 +24,8 @@
     body: bytes = b""
     #: An async generator of chunks in place of the body.
     chunks: object = None
+    #: What the chunks add up to; then they are sent with a length in place of chunked.
+    length: int | None = None
     #: Seconds after which a second copy of the answer is written to the same connection.
     late_copy: float | None = None
 
@@ -142,6 +144,13 @@
             if answer.late_copy is not None:
                 asyncio.get_running_loop().call_later(answer.late_copy, self._write_copy, writer, whole)
             return
+        if answer.length is not None:
+            lines.append(f"Content-Length: {answer.length}")
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            async for chunk in answer.chunks:
+                writer.write(chunk)
+                await writer.drain()
+            return
         lines.append("Transfer-Encoding: chunked")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         async for chunk in answer.chunks:
--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -105,6 +105,9 @@
     crash_on: bytes | None = None
     late_copy: float | None = None
     endless = False  #: Its answers have no end.
+    answer_bytes: int | None = None  #: Its answers are so large,
+    answer_chunked = False  #: and tell no length before;
+    break_after: int | None = None  #: so many bytes of them are sent.
 
     async def serve(self, request: Request) -> Answer:
         self.requests.append({"id": request.headers.get("x-request-id"), "headers": request.headers,
@@ -114,8 +117,18 @@
             raise Reset
         if self.endless:
             return Answer(200, self.stamp(request), chunks=self.bytes_without_end())
+        if self.answer_bytes is not None:
+            return Answer(200, self.stamp(request), chunks=self.large_answer(),
+                          length=None if self.answer_chunked else self.answer_bytes)
         return Answer(200, self.stamp(request), b"done:" + request.body, late_copy=self.late_copy)
 
+    async def large_answer(self):
+        wanted = self.answer_bytes if self.break_after is None else self.break_after
+        for start in range(0, wanted, 65536):
+            yield b"x" * min(65536, wanted - start)
+        if self.break_after is not None:
+            raise Reset
+
     @staticmethod
     async def bytes_without_end():
         while True:
