--- a/src/app/node/batchstore.cpp
+++ b/src/app/node/batchstore.cpp
@@ -8,6 +8,7 @@
 #include "process/clock/clock.h"
 #include "process/logging/logging.h"
 #include "version/batch/batchcodec.h"
+#include "version/batch/newestprogress.h"
 
 namespace nutmegplank::app::node {
 
@@ -123,7 +124,8 @@
             version::batch::encodeSubmission(*kept, attempt, m_journal.limits().recordBytes);
         stored = co_await storeBulk(kept->head.id, std::move(records));
         // A refusal costs nothing and may hold for the whole log; silence is of one partition.
-        if (stored.result.outcome == AppendOutcome::NotWritten)
+        if (stored.result.outcome == AppendOutcome::NotWritten
+            || stored.result.outcome == AppendOutcome::Rejected)
             break;
     }
     if (stored.result.outcome != AppendOutcome::Done) {
@@ -184,10 +186,10 @@
 auto BatchStore::loadProgress(std::string batchId)
     -> asio::awaitable<std::vector<version::batch::Progress>>
 {
-    auto progress = std::vector<version::batch::Progress>();
+    auto progress = version::batch::NewestProgress();
     const auto *batch = m_log.find(batchId);
     if (batch == nullptr || batch->progress.empty())
-        co_return progress;
+        co_return progress.take();
     const auto places = batch->progress;
     auto cached = CachedPage();
     for (const auto &place : places) {
@@ -198,14 +200,13 @@
                                         { "partition", place.partition },
                                         { "offset", place.offset },
                                         { "problem", base::describe(record.status()) } });
-            co_return progress;
+            co_return progress.take();
         }
         auto kept = version::batch::decodeProgress((*record)->data, batchId);
-        if (!kept.has_value())
-            continue;
-        progress.insert(progress.end(), kept->begin(), kept->end());
+        if (kept.has_value())
+            progress.add(std::move(*kept));
     }
-    co_return progress;
+    co_return progress.take();
 }
 
 auto BatchStore::CachedPage::holds(const version::batch::BulkPlace &place) const -> bool
--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -376,7 +376,7 @@
           { "outcome", base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) } });
     if (result.outcome == AppendOutcome::Done)
         co_return http::jsonResponse(STATUS_OK, "{}");
-    if (result.outcome == AppendOutcome::NotWritten)
+    if (result.outcome == AppendOutcome::NotWritten || result.outcome == AppendOutcome::Rejected)
         co_return refuse(exchange, { RefusalCode::StoreUnavailable, result.detail, STORE_RETRY });
     co_return refuse(exchange, { RefusalCode::Unknown, result.detail });
 }
--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -8,6 +8,7 @@
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
 #include "process/logging/taskfailure.h"
+#include "request/rollout/textpressure.h"
 
 namespace nutmegplank::app::node {
 
@@ -65,7 +66,10 @@
                        },
                         {} })
     , m_results(m_parts.context, m_parts.journal, m_parts.batches.bulk(), m_parts.metrics,
-                [this] { deactivate("another process writes results"); })
+                { [this] { deactivate("another process writes results"); },
+                  [this](const std::string &batch, std::uint32_t item) {
+                      m_executor.reopenItem(batch, item);
+                  } })
     , m_executor(executorDependencies())
     , m_waves(m_parts.context, m_parts.engineControl, waveHooks(), m_parts.metrics)
     , m_usage({ m_parts.context, m_parts.journal, m_parts.duties, m_parts.trueTime, m_parts.metrics,
@@ -100,8 +104,14 @@
              m_parts.readServersNow,
              [] { return process::clock::now(); },
              [this] { return m_parts.trueTime.milliseconds(process::clock::now()); },
+             m_parts.journal.limits().recordBytes,
+             request::rollout::textBudgetOf(m_parts.settings.memoryBytes),
+             [this] { return m_results.waitingBytes(); },
              [this](const std::string &batch, version::batch::Result result) {
                  m_results.add(batch, std::move(result));
+             },
+             [this](const std::string &batch, version::batch::Progress mark) {
+                 m_results.addProgress(batch, { std::move(mark) });
              } };
 }
 
--- a/src/app/node/membership.cpp
+++ b/src/app/node/membership.cpp
@@ -78,12 +78,17 @@
     record.set_serving(m_serving);
     record.set_true_ms(m_trueTime.milliseconds(now));
     for (const auto &suspicion : m_suspects.localCounts()) {
+        if (m_bareHeartbeat)
+            break;
         auto &added = *record.add_suspicions();
         added.set_fingerprint(suspicion.fingerprint);
         added.set_crashes(suspicion.crashes);
     }
-    for (const auto &report : m_limits.takeReports(now))
+    for (const auto &report : m_limits.takeReports(now)) {
+        if (m_bareHeartbeat)
+            break;
         *record.add_limits() = process::members::encodeLimitReport(report, now);
+    }
     auto data = std::string(1, static_cast<char>(m_settings.node.size()));
     data += m_settings.node;
     data += record.SerializeAsString();
@@ -105,12 +110,25 @@
     while (true) {
         auto records = std::vector<std::string> { encodeHeartbeat(process::clock::now()) };
         const auto partition = journal::Partition { MEMBER_TOPIC, 0 };
-        co_await m_journal.appendUnconditionally(partition, std::move(records), APPEND_TIME);
+        const auto bytes = records.front().size();
+        const auto result =
+            co_await m_journal.appendUnconditionally(partition, std::move(records), APPEND_TIME);
+        noteHeartbeat(result, bytes);
         m_timer.expires_after(m_times.heartbeatEvery);
         co_await m_timer.async_wait(USE_TUPLE);
     }
 }
 
+//! A machine whose heartbeats are all rejected would count as gone: the next one goes without what
+//! it tells of others.
+auto Membership::noteHeartbeat(const journal::AppendResult &result, std::size_t bytes) -> void
+{
+    m_bareHeartbeat = result.outcome == journal::AppendOutcome::Rejected && !m_bareHeartbeat;
+    if (result.outcome == journal::AppendOutcome::Rejected)
+        process::logging::error("member.heartbeat_rejected",
+                                { { "bytes", bytes }, { "detail", result.detail } });
+}
+
 auto Membership::hear(const journal::KeyedRecord &keyed, base::TimePoint now) -> void
 {
     auto record = record::MemberRecord();
--- a/src/app/node/membership.h
+++ b/src/app/node/membership.h
@@ -43,6 +43,7 @@
     auto hearLimits(const record::MemberRecord &record, base::TimePoint now) -> void;
     auto waitForSnapshot() -> boost::asio::awaitable<void>;
     auto encodeHeartbeat(base::TimePoint now) -> std::string;
+    auto noteHeartbeat(const version::journal::AppendResult &result, std::size_t bytes) -> void;
     auto living(base::TimePoint now) const -> std::vector<process::members::Member>;
 
     boost::asio::io_context &m_context;
@@ -56,6 +57,7 @@
     process::members::MemberList m_members;
     version::journal::KeyedFollower m_follower;
     boost::asio::steady_timer m_timer;
+    bool m_bareHeartbeat = false; //!< The next heartbeat tells nothing of others.
     bool m_serving = false;
 };
 
--- a/src/app/node/resultwriter.cpp
+++ b/src/app/node/resultwriter.cpp
@@ -1,8 +1,12 @@
 #include "app/node/resultwriter.h"
 
+#include <deque>
+#include <iterator>
+
 #include <boost/asio.hpp>
 
 #include "app/node/partitions.h"
+#include "base/text.h"
 #include "process/clock/clock.h"
 #include "process/logging/logging.h"
 #include "process/logging/taskfailure.h"
@@ -13,6 +17,7 @@
 namespace {
 
 namespace asio = boost::asio;
+namespace batch = version::batch;
 namespace journal = version::journal;
 namespace logging = process::logging;
 using journal::AppendOutcome;
@@ -24,27 +29,27 @@
 constexpr auto RETRY = std::chrono::milliseconds(60);
 //! A repeat is harmless, so a silent connection is given up soon.
 constexpr auto APPEND_TIME = std::chrono::milliseconds(800);
-//! Of a record and of a call, below the log's bounds with room for the rest of a record.
-constexpr auto RECORD_TEXT = std::size_t(150'000);
-constexpr auto CALL_TEXT = std::size_t(1'200'000);
+//! Appends of a single result that are rejected before it is given up.
+constexpr auto MAX_REJECTIONS = 3;
 
 } // namespace
 
 ResultWriter::ResultWriter(asio::io_context &context, journal::IJournal &store,
                            version::batch::BulkPartitions &bulk,
-                           process::metrics::Registry &metrics, std::function<void()> onFenced)
+                           process::metrics::Registry &metrics, ResultWriterHooks hooks)
     : m_context(context)
     , m_journal(store)
     , m_bulk(bulk)
-    , m_onFenced(std::move(onFenced))
+    , m_hooks(std::move(hooks))
     , m_recordsPerAppend(metrics.distribution("nutmegplank_result_records_per_append",
                                               "Records of results in one append."))
+    , m_rejected(metrics.counter("nutmegplank_rejected_results_total",
+                                 "Results and progress that the log rejects for good."))
 { }
 
 auto ResultWriter::begin(std::uint64_t fence) -> asio::awaitable<std::optional<std::uint64_t>>
 {
-    m_waiting.clear();
-    m_progress.clear();
+    m_queue.clear();
     const auto condition =
         journal::AppendCondition { {}, journal::Producer { PRODUCER, fence, 0 } };
     const auto nothing = std::vector<std::string>();
@@ -65,15 +70,14 @@
 auto ResultWriter::stop() -> void
 {
     m_fence = 0;
-    m_waiting.clear();
-    m_progress.clear();
+    m_queue.clear();
 }
 
 auto ResultWriter::add(const std::string &batch, version::batch::Result result) -> void
 {
     if (m_fence == 0)
         return;
-    m_waiting[batch].push_back(std::move(result));
+    m_queue.add(batch, std::move(result));
     startWriting();
 }
 
@@ -82,8 +86,8 @@
 {
     if (m_fence == 0)
         return;
-    auto &waiting = m_progress[batch];
-    std::ranges::move(items, std::back_inserter(waiting));
+    for (auto &item : items)
+        m_queue.addProgress(batch, std::move(item));
     startWriting();
 }
 
@@ -102,44 +106,6 @@
     }
 }
 
-auto ResultWriter::takeGroups() -> std::vector<Group>
-{
-    auto groups = std::vector<Group>();
-    auto callBytes = std::size_t(0);
-    while (!m_waiting.empty() && callBytes < CALL_TEXT) {
-        auto &[batch, results] = *m_waiting.begin();
-        auto group = Group { batch };
-        auto bytes = std::size_t(0);
-        while (!results.empty() && bytes < RECORD_TEXT) {
-            bytes += results.back().text.size();
-            group.results.push_back(std::move(results.back()));
-            results.pop_back();
-        }
-        callBytes += bytes;
-        groups.push_back(std::move(group));
-        if (results.empty())
-            m_waiting.erase(m_waiting.begin());
-    }
-    // Results go alone: they are waited for, and progress is not.
-    if (!groups.empty())
-        return groups;
-    while (!m_progress.empty() && callBytes < CALL_TEXT) {
-        auto &[batch, items] = *m_progress.begin();
-        auto group = Group { batch };
-        auto bytes = std::size_t(0);
-        while (!items.empty() && bytes < RECORD_TEXT) {
-            bytes += items.back().text.size();
-            group.progress.push_back(std::move(items.back()));
-            items.pop_back();
-        }
-        callBytes += bytes;
-        groups.push_back(std::move(group));
-        if (items.empty())
-            m_progress.erase(m_progress.begin());
-    }
-    return groups;
-}
-
 auto ResultWriter::logFailure(std::string_view step, std::uint64_t fence,
                               const journal::AppendResult &result) const -> void
 {
@@ -151,42 +117,101 @@
                        { "detail", result.detail } });
 }
 
-//! Puts the texts into the bulk partitions; an append whose answer was lost is done again, since
-//! what the index does not name does not count.
-auto ResultWriter::storeTexts(std::uint64_t fence, std::vector<Group> groups)
-    -> asio::awaitable<std::vector<std::string>>
+//! The group's record, in a bulk partition; nullopt if the log rejects it or the lease is lost. An
+//! append whose answer was lost is done again, since what the index does not name does not count.
+auto ResultWriter::storeText(std::uint64_t fence, const batch::ResultGroup &group)
+    -> asio::awaitable<std::optional<batch::BulkPlace>>
 {
     auto timer = asio::steady_timer(m_context);
-    auto index = std::vector<std::string>();
-    for (const auto &group : groups) {
+    auto place = batch::BulkPlace();
+    auto rejections = 0;
+    const auto limits = m_journal.limits();
+    while (m_fence == fence) {
+        auto records = std::vector<std::string>();
+        records.push_back(group.results.empty() ? batch::encodeProgress(group.batch, group.progress)
+                                                : batch::encodeResults(group.batch, group.results));
         auto result = journal::AppendResult();
-        auto place = version::batch::BulkPlace();
-        while (m_fence == fence && result.outcome != AppendOutcome::Done) {
-            auto records = std::vector<std::string>();
-            records.push_back(group.results.empty()
-                                  ? version::batch::encodeProgress(group.batch, group.progress)
-                                  : version::batch::encodeResults(group.batch, group.results));
-            place.partition =
-                m_bulk.choose(group.batch, m_journal.limits().partitions, process::clock::now());
+        const auto bytes = records.front().size();
+        if (bytes > limits.recordBytes) {
+            result.outcome = AppendOutcome::Rejected;
+            result.detail = base::concat("record of ", bytes, " bytes");
+            rejections = MAX_REJECTIONS;
+        } else {
+            place.partition = m_bulk.choose(group.batch, limits.partitions, process::clock::now());
             result = co_await m_journal.appendUnconditionally(bulkPartition(place.partition),
                                                               std::move(records), APPEND_TIME);
-            if (result.outcome == AppendOutcome::Done) {
-                place.offset = result.offset;
-                m_bulk.noteStored(place.partition);
-                break;
-            }
-            m_bulk.noteFailed(place.partition, process::clock::now());
-            logFailure("text", fence, result);
-            timer.expires_after(RETRY);
-            co_await timer.async_wait(USE_TUPLE);
         }
+        if (result.outcome == AppendOutcome::Done) {
+            place.offset = result.offset;
+            m_bulk.noteStored(place.partition);
+            co_return place;
+        }
+        logFailure("text", fence, result);
+        if (result.outcome != AppendOutcome::Rejected)
+            m_bulk.noteFailed(place.partition, process::clock::now());
+        else if (group.size() > 1 || ++rejections >= MAX_REJECTIONS)
+            co_return std::nullopt;
+        timer.expires_after(RETRY);
+        co_await timer.async_wait(USE_TUPLE);
+    }
+    co_return std::nullopt;
+}
+
+//! Groups that the log rejects are split, until what it rejects is a single entry.
+auto ResultWriter::storeTexts(std::uint64_t fence, std::vector<batch::ResultGroup> groups)
+    -> asio::awaitable<std::vector<Stored>>
+{
+    auto stored = std::vector<Stored>();
+    auto waiting = std::deque<batch::ResultGroup>(std::make_move_iterator(groups.begin()),
+                                                  std::make_move_iterator(groups.end()));
+    while (!waiting.empty()) {
+        auto group = std::move(waiting.front());
+        waiting.pop_front();
+        const auto place = co_await storeText(fence, group);
         if (m_fence != fence)
             break;
-        index.push_back(group.results.empty()
-                            ? version::batch::encodeListedProgress(group.batch, place)
-                            : version::batch::encodeListed(group.batch, place, group.results));
+        if (!place.has_value() && group.size() > 1) {
+            auto [first, second] = batch::splitGroup(std::move(group));
+            waiting.push_front(std::move(second));
+            waiting.push_front(std::move(first));
+            continue;
+        }
+        if (!place.has_value()) {
+            giveUp(group, "text");
+            continue;
+        }
+        auto index = group.results.empty()
+            ? batch::encodeListedProgress(group.batch, *place)
+            : batch::encodeListed(group.batch, *place, group.results);
+        for (auto &result : group.results)
+            result.text = std::string();
+        for (auto &progress : group.progress)
+            progress.text = std::string();
+        stored.push_back({ std::move(group), std::move(index) });
+    }
+    co_return stored;
+}
+
+//! Only its own items are held up by what the log rejects. Progress is not owed.
+auto ResultWriter::giveUp(const batch::ResultGroup &group, std::string_view step) -> void
+{
+    for (const auto &result : group.results) {
+        m_rejected.add();
+        logging::error("results.rejected",
+                       { { "step", step },
+                         { "batch", group.batch },
+                         { "item", result.itemId },
+                         { "bytes", result.text.size() } });
+        m_hooks.onRejected(group.batch, result.item);
+    }
+    for (const auto &progress : group.progress) {
+        m_rejected.add();
+        logging::warning("results.progress_rejected",
+                         { { "step", step },
+                           { "batch", group.batch },
+                           { "item_index", progress.item },
+                           { "bytes", progress.text.size() } });
     }
-    co_return index;
 }
 
 auto ResultWriter::writeLoop(std::uint64_t fence) -> asio::awaitable<void>
@@ -195,43 +220,71 @@
     while (m_fence == fence) {
         timer.expires_after(GATHER);
         co_await timer.async_wait(USE_TUPLE);
-        auto groups = takeGroups();
+        auto groups = m_queue.take(m_journal.limits());
         if (groups.empty())
             break;
-        const auto index = co_await storeTexts(fence, std::move(groups));
-        ++m_sequence;
-        co_await writeIndex(fence, index);
+        auto stored = co_await storeTexts(fence, std::move(groups));
+        co_await writeIndex(fence, std::move(stored));
     }
     m_writing = false;
-    if (m_fence != 0 && (!m_waiting.empty() || !m_progress.empty()))
+    if (m_fence != 0 && !m_queue.empty())
         startWriting();
 }
 
-auto ResultWriter::writeIndex(std::uint64_t fence, std::vector<std::string> records)
+auto ResultWriter::writeIndex(std::uint64_t fence, std::vector<Stored> stored)
     -> asio::awaitable<void>
+{
+    if (stored.empty())
+        co_return;
+    auto records = std::vector<std::string>();
+    for (const auto &entry : stored)
+        records.push_back(entry.index);
+    const auto written = co_await appendIndex(fence, std::move(records));
+    if (written || m_fence != fence)
+        co_return;
+    // One of them is rejected: alone, it holds up no other.
+    for (const auto &entry : stored) {
+        auto record = std::vector<std::string> { entry.index };
+        const auto writtenAlone = co_await appendIndex(fence, std::move(record));
+        if (m_fence != fence)
+            co_return;
+        if (!writtenAlone)
+            giveUp(entry.group, "index");
+    }
+}
+
+//! Returns false if the log rejects the records or the lease is lost.
+auto ResultWriter::appendIndex(std::uint64_t fence, std::vector<std::string> records)
+    -> asio::awaitable<bool>
 {
     auto timer = asio::steady_timer(m_context);
+    auto rejections = 0;
     while (m_fence == fence) {
         const auto condition =
-            journal::AppendCondition { {}, journal::Producer { PRODUCER, fence, m_sequence } };
+            journal::AppendCondition { {}, journal::Producer { PRODUCER, fence, m_sequence + 1 } };
         const auto result = co_await m_journal.append(partitionFor(PartitionUse::Index), records,
                                                       condition, APPEND_TIME);
         if (result.outcome == AppendOutcome::Done) {
+            ++m_sequence;
             m_recordsPerAppend.record(static_cast<double>(records.size()));
-            co_return;
+            co_return true;
         }
         logFailure("index", fence, result);
         if (result.outcome == AppendOutcome::Fenced) {
             m_fence = 0;
-            m_onFenced();
-            co_return;
+            m_hooks.onFenced();
+            co_return false;
         }
+        if (result.outcome == AppendOutcome::Rejected
+            && (records.size() > 1 || ++rejections >= MAX_REJECTIONS))
+            co_return false;
         // The same records under the same number: the log tells a repeat by it.
-        if (result.outcome == AppendOutcome::Sequence)
-            m_sequence = result.end;
+        if (result.outcome == AppendOutcome::Sequence && result.end > 0)
+            m_sequence = result.end - 1;
         timer.expires_after(RETRY);
         co_await timer.async_wait(USE_TUPLE);
     }
+    co_return false;
 }
 
 } // namespace nutmegplank::app::node
--- a/src/app/node/streamorigins.cpp
+++ b/src/app/node/streamorigins.cpp
@@ -156,8 +156,13 @@
 
 auto StreamOrigins::writeLoop() -> asio::awaitable<void>
 {
+    auto oneByOne = false;
     while (!m_pending.empty()) {
-        const auto batch = std::exchange(m_pending, {});
+        auto batch = std::exchange(m_pending, {});
+        if (oneByOne && batch.size() > 1) {
+            m_pending.assign(std::next(batch.begin()), batch.end());
+            batch.resize(1);
+        }
         auto records = std::vector<std::string>();
         for (const auto &pending : batch)
             records.push_back(version::streamorigin::encodeOrigin(pending->origin));
@@ -166,14 +171,22 @@
             co_await m_journal.appendUnconditionally(partition, std::move(records), APPEND_TIME);
         const auto now = process::clock::now();
         const auto written = result.outcome == journal::AppendOutcome::Done;
+        const auto rejected = result.outcome == journal::AppendOutcome::Rejected;
         if (!written) {
-            m_failedAt = now;
+            // The log is there; only what it rejects fails.
+            if (!rejected)
+                m_failedAt = now;
             logging::warning(
                 "streams.append_failed",
                 { { "origins", batch.size() },
                   { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES, result.outcome) },
                   { "detail", result.detail } });
         }
+        if (rejected && batch.size() > 1) {
+            oneByOne = true;
+            m_pending.insert(m_pending.begin(), batch.begin(), batch.end());
+            continue;
+        }
         for (const auto &pending : batch) {
             pending->written = written;
             if (written)
--- a/src/app/node/usageduty.cpp
+++ b/src/app/node/usageduty.cpp
@@ -69,11 +69,28 @@
             records.push_back(record.SerializeAsString());
         const auto result = co_await m_parts.journal.appendUnconditionally(
             partitionFor(PartitionUse::Meter), std::move(records), APPEND_TIME);
-        if (result.outcome != journal::AppendOutcome::Done)
+        if (result.outcome == journal::AppendOutcome::Rejected)
+            co_await recordOneByOne(changed);
+        else if (result.outcome != journal::AppendOutcome::Done)
             m_local.markChanged(changed);
     }
 }
 
+//! A record that the log rejects holds up no other.
+auto UsageDuty::recordOneByOne(std::vector<record::MeterRecord> records) -> asio::awaitable<void>
+{
+    for (const auto &record : records) {
+        auto single = std::vector<std::string> { record.SerializeAsString() };
+        const auto result = co_await m_parts.journal.appendUnconditionally(
+            partitionFor(PartitionUse::Meter), std::move(single), APPEND_TIME);
+        if (result.outcome == journal::AppendOutcome::Rejected)
+            logging::error("usage.record_rejected",
+                           { { "bytes", record.ByteSizeLong() }, { "detail", result.detail } });
+        else if (result.outcome != journal::AppendOutcome::Done)
+            m_local.markChanged({ record });
+    }
+}
+
 auto UsageDuty::dutyLoop() -> asio::awaitable<void>
 {
     while (true) {
@@ -106,6 +123,9 @@
             { { "window", next },
               { "fence", fence },
               { "outcome", base::nameOf(journal::APPEND_OUTCOME_NAMES, result.outcome) } });
+        // The windows that follow must not wait for one that the log rejects.
+        if (result.outcome == journal::AppendOutcome::Rejected)
+            continue;
         if (result.outcome != journal::AppendOutcome::Done)
             break;
         end = result.offset + 1;
--- a/src/app/node/usageduty.h
+++ b/src/app/node/usageduty.h
@@ -44,6 +44,7 @@
 
 private:
     auto countLoop() -> boost::asio::awaitable<void>;
+    auto recordOneByOne(std::vector<record::MeterRecord> records) -> boost::asio::awaitable<void>;
     auto dutyLoop() -> boost::asio::awaitable<void>;
     auto closeWindows(std::uint64_t fence) -> boost::asio::awaitable<std::uint64_t>;
     auto waitForPosition(std::uint64_t offset) -> boost::asio::awaitable<void>;
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -32,9 +32,14 @@
 constexpr auto RETRY_JITTER_MS = std::uint64_t(300);
 constexpr auto MAX_PAGE_RETRIES = 60;
 constexpr auto STATUS_OK = 200U;
+constexpr auto STATUS_BAD_REQUEST = 400U;
+constexpr auto STATUS_REQUEST_TIMEOUT = 408U;
 constexpr auto STATUS_CONFLICT = 409U;
 constexpr auto STATUS_GONE = 410U;
 constexpr auto STATUS_PRECONDITION_FAILED = 412U;
+constexpr auto STATUS_MISDIRECTED = 421U;
+constexpr auto STATUS_TOO_EARLY = 425U;
+constexpr auto STATUS_SERVER_ERROR = 500U;
 constexpr auto STATUS_UNAVAILABLE = 503U;
 constexpr auto STATUS_TOO_MANY_REQUESTS = 429U;
 constexpr auto OFFSET_BYTES = std::size_t(8);
@@ -81,6 +86,14 @@
     return page;
 }
 
+//! Whether the same append would be refused again, e.g. since a record is too large.
+auto isLasting(std::uint32_t status) -> bool
+{
+    return status >= STATUS_BAD_REQUEST && status < STATUS_SERVER_ERROR
+        && status != STATUS_REQUEST_TIMEOUT && status != STATUS_MISDIRECTED
+        && status != STATUS_TOO_EARLY && status != STATUS_TOO_MANY_REQUESTS;
+}
+
 auto parseRefusedAppend(const http::Response &response) -> journal::AppendResult
 {
     auto result = journal::AppendResult();
@@ -102,7 +115,8 @@
     }
     default:
         // Statuses such as 429, 503 and 507 mean that the store has written nothing.
-        result.outcome = AppendOutcome::NotWritten;
+        result.outcome =
+            isLasting(response.status) ? AppendOutcome::Rejected : AppendOutcome::NotWritten;
         return result;
     }
 }
--- a/src/platform/tests/storeclient_tests.cpp
+++ b/src/platform/tests/storeclient_tests.cpp
@@ -107,6 +107,17 @@
               AppendOutcome::Fenced);
 }
 
+//! Records above the store's bound used to be sent again for ever.
+TEST(StoreClient, StoreClient_RefusalThatLasts_IsToldFromOneThatPasses)
+{
+    for (const auto status : { 400U, 403U, 404U, 413U, 422U })
+        EXPECT_EQ(FixedResponseStore(status, "").append().outcome, AppendOutcome::Rejected)
+            << status;
+    for (const auto status : { 408U, 425U, 429U, 500U, 502U, 503U, 507U })
+        EXPECT_EQ(FixedResponseStore(status, "").append().outcome, AppendOutcome::NotWritten)
+            << status;
+}
+
 TEST(StoreClient, StoreClient_CompactedRange_ReturnsFirstRetainedOffset)
 {
     const auto page = FixedResponseStore(410, R"({"first":12})").read();
--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -123,6 +123,7 @@
         return;
     case RunEnd::Foreign:
     case RunEnd::Malformed:
+    case RunEnd::Oversized:
     case RunEnd::Outdated:
     case RunEnd::Cancelled:
         return;
--- a/src/request/rollout/eventreader.cpp
+++ b/src/request/rollout/eventreader.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-//! Largest event in bytes, with all its lines. Events hold a few KB of text; an engine in trouble
-//! may send one without end.
-constexpr auto MAX_EVENT_BYTES = std::size_t(256 * 1024);
-
 auto parseNumber(std::string_view text) -> std::optional<std::uint64_t>
 {
     auto number = std::uint64_t(0);
@@ -50,7 +46,8 @@
         m_inEvent = m_hasId = m_hasData = false;
     }
     m_pendingBytes.erase(0, begin);
-    if (m_pendingBytes.size() + m_eventBytes > MAX_EVENT_BYTES) {
+    if (m_pendingBytes.size() + m_eventBytes > m_maxEventBytes) {
+        m_tooLarge = true;
         m_problem = "an event is too large";
         return std::nullopt;
     }
--- a/src/request/rollout/eventreader.h
+++ b/src/request/rollout/eventreader.h
@@ -21,9 +21,14 @@
 class EventReader
 {
 public:
+    //! Largest event in bytes, with all its lines, unless another limit is given. Events hold a
+    //! few KB of text; an engine in trouble may send one without end.
+    static constexpr auto MAX_EVENT_BYTES = std::size_t(256 * 1024);
+
     //! \a versionField is the name of the field that announces a change of the weight version.
-    explicit EventReader(std::string versionField)
+    explicit EventReader(std::string versionField, std::size_t maxEventBytes = MAX_EVENT_BYTES)
         : m_versionField(std::move(versionField))
+        , m_maxEventBytes(maxEventBytes)
     { }
 
     //! Appends \a bytes and returns the events that they complete; nullopt if the stream is
@@ -33,12 +38,15 @@
     auto atBoundary() const -> bool { return m_pendingBytes.empty() && !m_inEvent; }
     //! Why the stream is malformed; empty as long as it is not.
     auto problem() const -> std::string_view { return m_problem; }
+    //! Whether the problem is the size of an event.
+    auto tooLarge() const -> bool { return m_tooLarge; }
 
 private:
     auto parseLine(std::string_view line) -> bool;
     auto isComplete() -> bool;
 
     std::string m_versionField;
+    std::size_t m_maxEventBytes;
     std::string_view m_problem;
     std::size_t m_eventBytes = 0; //!< Bytes of the lines of m_event.
     std::string m_pendingBytes;   //!< Start of a line whose end has not been read.
@@ -46,6 +54,7 @@
     bool m_inEvent = false; //!< At least one field of m_event has been read.
     bool m_hasId = false;
     bool m_hasData = false;
+    bool m_tooLarge = false;
 };
 
 } // namespace nutmegplank::request::rollout
--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -1,5 +1,7 @@
 #include "request/rollout/itemrun.h"
 
+#include <limits>
+
 #include "base/status.h"
 #include "process/clock/clock.h"
 #include "request/serverprotocol/ownresponse.h"
@@ -18,6 +20,9 @@
 //! Limit of each read of a refusal's body, which is read only so that the connection can be reused.
 constexpr auto REFUSAL_BODY_TIMEOUT = std::chrono::milliseconds(500);
 
+//! What an event has beside its data: its id, the weight version and the names of the fields.
+constexpr auto EVENT_FIELDS_BYTES = std::size_t(1024);
+
 constexpr auto STATUS_OK = 200U;
 constexpr auto STATUS_UNPROCESSABLE = 422U;
 constexpr auto STATUS_SERVER_ERROR = 500U;
@@ -27,6 +32,12 @@
     return READ_TIMEOUT;
 }
 
+auto largestEvent(const TextLimit &limit) -> std::size_t
+{
+    const auto mostData = std::numeric_limits<std::size_t>::max() - EVENT_FIELDS_BYTES;
+    return limit.bytes < mostData ? limit.bytes + EVENT_FIELDS_BYTES : EventReader::MAX_EVENT_BYTES;
+}
+
 } // namespace
 
 ItemRun::ItemRun(http::Request request, std::string requestId,
@@ -118,7 +129,7 @@
 
 auto ItemRun::readEvents(http::IHttpConnection &connection) -> asio::awaitable<RunOutcome>
 {
-    auto reader = EventReader(m_protocol.versionField());
+    auto reader = EventReader(m_protocol.versionField(), largestEvent(m_transcript->limit()));
     while (true) {
         const auto part = co_await connection.readBody(READ_TIMEOUT);
         if (!part.ok())
@@ -127,9 +138,10 @@
             break;
         const auto events = reader.feed(**part);
         if (!events.has_value())
-            co_return RunOutcome {
-                RunEnd::Malformed, STATUS_OK, std::string(reader.problem()), {}
-            };
+            co_return RunOutcome { reader.tooLarge() ? RunEnd::Oversized : RunEnd::Malformed,
+                                   STATUS_OK,
+                                   std::string(reader.problem()),
+                                   {} };
         const auto failure = appendEvents(*events);
         if (failure.has_value())
             co_return *failure;
@@ -151,6 +163,10 @@
             return RunOutcome { RunEnd::Malformed, STATUS_OK, "event id is out of sequence", {} };
         case AppendResult::NoVersion:
             return RunOutcome { RunEnd::Malformed, STATUS_OK, "weight version is missing", {} };
+        case AppendResult::TooLarge:
+            return RunOutcome {
+                RunEnd::Oversized, STATUS_OK, "more text than the item may have", {}
+            };
         case AppendResult::OldVersion:
             return RunOutcome { RunEnd::Outdated, STATUS_OK, "weight version too old", {} };
         case AppendResult::MixedVersions:
--- a/src/request/rollout/itemrun.h
+++ b/src/request/rollout/itemrun.h
@@ -23,11 +23,12 @@
     Impossible,  //!< The engine rejected the item as one that can never be run.
     Broken,      //!< Incomplete or unexpected response; text received so far is valid.
     Malformed,   //!< The response is invalid and its text cannot be used.
+    Oversized,   //!< More text than the item may have; the text cannot be used.
     Outdated,    //!< Weights older than allowed, or changed where a single version is required.
     Cancelled,   //!< Ended by this process, e.g. to move the item to another engine.
 };
 
-constexpr auto RUN_END_NAMES = base::EnumTable<RunEnd, 11> { {
+constexpr auto RUN_END_NAMES = base::EnumTable<RunEnd, 12> { {
     { RunEnd::Completed, "completed" },
     { RunEnd::Unreachable, "unreachable" },
     { RunEnd::Foreign, "foreign" },
@@ -37,6 +38,7 @@
     { RunEnd::Impossible, "impossible" },
     { RunEnd::Broken, "broken" },
     { RunEnd::Malformed, "malformed" },
+    { RunEnd::Oversized, "oversized" },
     { RunEnd::Outdated, "outdated" },
     { RunEnd::Cancelled, "cancelled" },
 } };
--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -63,6 +63,9 @@
         // Former versions of this program stored texts that no caller can read.
         if (!base::isUtf8(saved.text))
             continue;
+        const auto &limit = item.transcript->limit();
+        if (saved.events > limit.events || saved.text.size() > limit.bytes)
+            continue;
         item.transcript->restore(saved.lastEvent, saved.events, saved.text, saved.versions,
                                  saved.software);
         item.savedEvents = saved.events;
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -10,6 +10,8 @@
 #include "request/rollout/moveplan.h"
 #include "request/rollout/placementlog.h"
 #include "request/rollout/strandedtexts.h"
+#include "request/rollout/textlimit.h"
+#include "request/rollout/textpressure.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -37,6 +39,11 @@
                                                  { { "outcome", "lost" } }))
     , m_runs(m_dependencies.metrics.counter("nutmegplank_item_runs_total",
                                             "Runs of items at engines."))
+    , m_oversized(m_dependencies.metrics.counter(
+          "nutmegplank_oversized_texts_total",
+          "Texts of items discarded since they were larger than allowed or than memory permits."))
+    , m_textBytes(m_dependencies.metrics.gauge("nutmegplank_item_text_bytes",
+                                               "Texts of unfinished and unwritten items."))
     , m_itemSeconds(m_dependencies.metrics.distribution("nutmegplank_item_run_seconds",
                                                         "Duration of complete runs of items."))
 { }
@@ -104,6 +111,7 @@
     m_dependencies.engines.updateMedian();
     abandonExpiredItems();
     m_supervisor.endFailedRuns(m_dependencies.now());
+    discardLargeTexts();
     place();
     m_scoring.dispatch(*table);
 }
@@ -127,8 +135,11 @@
     for (auto index = std::size_t(0); index < batch.itemCount(); ++index) {
         auto &item = openBatch.items.emplace_back();
         item.waitingSince = m_dependencies.now();
+        const auto &source = openBatch.submission->items[index];
         item.transcript = std::make_shared<Transcript>(
-            TranscriptRules { head.minVersion, routeSettings.singleVersion });
+            TranscriptRules { head.minVersion, routeSettings.singleVersion },
+            textLimitOf({ source.tokens, source.promptTokens, m_dependencies.recordBytes, head.id,
+                          source.id }));
         // The log already has a result of the item.
         if (batch.listed[index])
             item.state = ItemState::Done;
@@ -201,7 +212,8 @@
     discardStrandedTexts(m_batches, engines, m_dependencies.now());
     auto waiting = std::vector<WaitingItem>();
     auto keys = std::vector<ItemKey>();
-    m_batches.collectWaiting(waiting, keys, m_dependencies.now());
+    if (mayStartRuns(m_dependencies.unwrittenBytes(), m_dependencies.textBudget))
+        m_batches.collectWaiting(waiting, keys, m_dependencies.now());
     const auto anySlow = std::ranges::any_of(engines, isSlow);
     if (waiting.empty() && !anySlow)
         return;
@@ -310,10 +322,86 @@
     item.notBefore = m_dependencies.now() + decision.retryDelay;
     if (decision.avoidEngine)
         item.avoidedEngine = item.engine;
-    if (decision.discardText) {
-        item.transcript->reset();
-        item.savedEvents = 0;
+    if (outcome.end == RunEnd::Oversized)
+        m_oversized.add();
+    if (decision.discardText)
+        discardText(batch, index);
+}
+
+//! What was stored of the text must not be resumed by the next lease holder.
+auto RolloutExecutor::discardText(OpenBatch &batch, std::size_t index) -> void
+{
+    auto &item = batch.items[index];
+    item.transcript->reset();
+    if (item.state == ItemState::Scoring)
+        item.state = ItemState::Waiting;
+    if (item.savedEvents > 0)
+        m_dependencies.onDiscarded(batch.id, progressOf(batch, index));
+    item.savedEvents = 0;
+    item.savedComplete = false;
+}
+
+//! Keeps the texts within the memory that they may take.
+auto RolloutExecutor::discardLargeTexts() -> void
+{
+    auto texts = std::vector<HeldText>();
+    auto keys = std::vector<ItemKey>();
+    const auto unwritten = m_dependencies.unwrittenBytes();
+    auto total = unwritten;
+    for (const auto &[id, batch] : m_batches.all()) {
+        for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
+            const auto &item = batch.items[index];
+            const auto bytes = item.transcript->text().size();
+            if (item.state == ItemState::Done || bytes == 0)
+                continue;
+            total += bytes;
+            texts.push_back({ keys.size(), bytes, item.state == ItemState::Scoring });
+            keys.push_back({ id, index });
+        }
     }
+    m_textBytes.set(static_cast<double>(total));
+    const auto budget = m_dependencies.textBudget > unwritten
+        ? m_dependencies.textBudget - unwritten
+        : std::size_t(0);
+    for (const auto handle : chooseTextsToDiscard(std::move(texts), budget)) {
+        auto &batch = m_batches.all().at(keys[handle].batch);
+        auto &item = batch.items[keys[handle].item];
+        logging::warning("rollout.text_over_budget",
+                         { { "batch", batch.id },
+                           { "item", batch.submission->items[keys[handle].item].id },
+                           { "bytes", item.transcript->text().size() },
+                           { "all_bytes", total },
+                           { "budget", m_dependencies.textBudget } });
+        // Its run appends to the transcript until it has ended, which discards the text.
+        if (item.run != nullptr) {
+            item.run->cancel(RunEnd::Oversized, "texts exceed their memory");
+            continue;
+        }
+        m_oversized.add();
+        discardText(batch, keys[handle].item);
+    }
+}
+
+auto RolloutExecutor::reopenItem(const std::string &batchId, std::size_t index) -> void
+{
+    const auto found = m_batches.all().find(batchId);
+    if (!m_active || found == m_batches.all().end())
+        return;
+    auto &batch = found->second;
+    auto &item = batch.items.at(index);
+    if (item.state != ItemState::Done)
+        return;
+    const auto decision = decideNextStep(
+        RunEnd::Oversized, std::numeric_limits<std::uint32_t>::max(), item.failureCounts);
+    ++batch.unfinishedInGroup[item.group];
+    item.state = ItemState::Waiting;
+    item.waitingSince = m_dependencies.now();
+    item.notBefore = m_dependencies.now() + decision.retryDelay;
+    item.avoidedEngine = item.engine;
+    item.score.clear();
+    discardText(batch, index);
+    logging::warning("rollout.item_reopened",
+                     { { "batch", batchId }, { "item", batch.submission->items[index].id } });
 }
 
 auto RolloutExecutor::scoringDependencies() -> scoring::ScoringDependencies
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -36,10 +36,15 @@
     std::function<base::TimePoint()> serversReadAt;
     std::function<void()> readServersNow; //!< Reads the list without the usual pause.
     std::function<base::TimePoint()> now;
-    std::function<std::int64_t()> wallClockMs; //!< Milliseconds since 1970.
+    std::function<std::int64_t()> wallClockMs;   //!< Milliseconds since 1970.
+    std::size_t recordBytes = 0;                 //!< Of a record of the log.
+    std::size_t textBudget = 0;                  //!< Bytes of all texts together.
+    std::function<std::size_t()> unwrittenBytes; //!< Of finished items.
     //! Called with each finished item. The caller writes it to the log; it becomes a result of the
     //! batch once it is read back from there.
     std::function<void(const std::string &batch, version::batch::Result result)> onFinished;
+    //! The stored text of an item is invalid; \a mark has no events.
+    std::function<void(const std::string &batch, version::batch::Progress mark)> onDiscarded;
 };
 
 //! Runs and scores the items of all open batches while this process holds the lease. Not
@@ -66,6 +71,8 @@
         return m_batches.collectProgress(minNewEvents);
     }
     auto endBatch(const std::string &id) -> void;
+    //! Runs a finished item again whose result the log does not take.
+    auto reopenItem(const std::string &batch, std::size_t index) -> void;
     //! Runs the next tick immediately, e.g. after a change of a server, a free slot or a version.
     auto wake() -> void;
 
@@ -86,6 +93,8 @@
     auto tickLoop() -> boost::asio::awaitable<void>;
     auto tick() -> void;
     auto place() -> void;
+    auto discardLargeTexts() -> void;
+    auto discardText(OpenBatch &batch, std::size_t index) -> void;
     auto startRun(const ItemKey &key, const EngineLoad &engine) -> void;
     auto runItem(ItemKey key, std::shared_ptr<ItemRun> run, process::servers::Server server)
         -> boost::asio::awaitable<void>;
@@ -109,6 +118,8 @@
     process::metrics::Counter &m_completed;
     process::metrics::Counter &m_lostItems;
     process::metrics::Counter &m_runs;
+    process::metrics::Counter &m_oversized;
+    process::metrics::Gauge &m_textBytes;
     process::metrics::Distribution &m_itemSeconds;
     bool m_active = false;
     bool m_wakePending = false;
--- a/src/request/rollout/rundecision.cpp
+++ b/src/request/rollout/rundecision.cpp
@@ -37,6 +37,8 @@
         return { NextStep::Retry, {}, FAILED_DELAY, true };
     case RunEnd::Broken:
         return { NextStep::Retry, {}, lossDelay(failureCounts.connectionLosses++), true };
+    case RunEnd::Oversized:
+        return { NextStep::Retry, {}, lossDelay(failureCounts.oversizedTexts++), true, true };
     case RunEnd::Malformed:
     case RunEnd::Outdated:
         return { NextStep::Retry, {}, base::Duration(0), true, true };
--- a/src/request/rollout/rundecision.h
+++ b/src/request/rollout/rundecision.h
@@ -11,6 +11,7 @@
 {
     std::uint32_t engineFailures = 0;   //!< The engine ran the item and returned an error.
     std::uint32_t connectionLosses = 0; //!< The connection was lost during the run.
+    std::uint32_t oversizedTexts = 0;   //!< The engine sent more text than the item may have.
 };
 
 enum class NextStep {
@@ -31,9 +32,9 @@
 
 //! Decides whether an item is finished or run again. Only engine failures count towards
 //! \a maxAttempts: an item is given up only if an engine that ran it reports the failure. Lost
-//! connections are retried without limit, with a delay that grows fourfold up to half a second,
-//! while engines come back: an item under which engines crashed is still owed. Counts this run in
-//! \a failureCounts.
+//! connections and texts that are too large are retried without limit, with a delay that grows
+//! fourfold up to half a second: an item under which engines crashed, or that one of them never
+//! ends, is still owed. Counts this run in \a failureCounts.
 auto decideNextStep(RunEnd end, std::uint32_t maxAttempts, FailureCounts &failureCounts)
     -> RunDecision;
 
--- a/src/request/rollout/tests/rundecision_tests.cpp
+++ b/src/request/rollout/tests/rundecision_tests.cpp
@@ -44,3 +44,18 @@
         EXPECT_EQ(decideNextStep(end, 1, failureCounts).step, NextStep::Retry);
     EXPECT_EQ(failureCounts.engineFailures + failureCounts.connectionLosses, 0U);
 }
+
+//! An answer without end is no failure that the engine reports: the item is still owed.
+TEST(RunDecision, RunDecision_OversizedText_IsRetriedElsewhereForEverFromItsBeginning)
+{
+    auto failureCounts = FailureCounts();
+    for (auto run = 0; run < 20; ++run) {
+        const auto decision = decideNextStep(RunEnd::Oversized, 2, failureCounts);
+        EXPECT_EQ(decision.step, NextStep::Retry);
+        EXPECT_TRUE(decision.avoidEngine);
+        EXPECT_TRUE(decision.discardText);
+        EXPECT_GT(decision.retryDelay, 0ms);
+        EXPECT_LE(decision.retryDelay, 500ms);
+    }
+    EXPECT_EQ(failureCounts.engineFailures, 0U);
+}
--- a/src/request/rollout/transcript.cpp
+++ b/src/request/rollout/transcript.cpp
@@ -19,6 +19,9 @@
     // missing.
     if (m_events == 0 && event.id > 1)
         return AppendResult::Gap;
+    const auto separator = m_events > 0 ? std::size_t(1) : std::size_t(0);
+    if (m_events >= m_limit.events || m_text.size() + separator + event.data.size() > m_limit.bytes)
+        return AppendResult::TooLarge;
     if (event.weightVersion.has_value())
         m_version = event.weightVersion;
     if (!m_version.has_value())
--- a/src/request/rollout/transcript.h
+++ b/src/request/rollout/transcript.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "request/rollout/eventreader.h"
+#include "request/rollout/textlimit.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -22,6 +23,7 @@
     NoVersion,     //!< Neither the response head nor an event has named the weight version.
     OldVersion,    //!< The weights are older than allowed.
     MixedVersions, //!< The version differs from earlier events where a single one is required.
+    TooLarge,      //!< More events or bytes than the item may have.
 };
 
 //! The generated text of an item, possibly from several runs, and the weight versions that
@@ -29,8 +31,9 @@
 class Transcript
 {
 public:
-    explicit Transcript(TranscriptRules rules)
+    explicit Transcript(TranscriptRules rules, TextLimit limit = {})
         : m_rules(rules)
+        , m_limit(limit)
     { }
 
     //! Starts a run, or resumes after the last event, with \a version if the engine reported one.
@@ -47,6 +50,7 @@
     auto empty() const -> bool { return m_events == 0; }
     auto eventCount() const -> std::uint32_t { return m_events; }
     auto lastId() const -> std::uint64_t { return m_lastId; }
+    auto limit() const -> const TextLimit & { return m_limit; }
     auto text() const -> const std::string & { return m_text; }
     //! In the order of the first event that each generated.
     auto versions() const -> const std::vector<std::uint64_t> & { return m_versions; }
@@ -56,6 +60,7 @@
 
 private:
     TranscriptRules m_rules;
+    TextLimit m_limit;
     std::optional<std::uint64_t> m_version; //!< Last reported in the current run.
     std::uint64_t m_lastId = 0;
     std::uint32_t m_events = 0;
--- a/src/version/batch/internal/batchcodec.cpp
+++ b/src/version/batch/internal/batchcodec.cpp
@@ -73,7 +73,9 @@
                       std::size_t recordBytes) -> std::vector<std::string>
 {
     const auto data = toMessage(submission).SerializeAsString();
-    const auto partBytes = recordBytes - ENVELOPE_BYTES;
+    // Ids may be as long as the headers of a request.
+    const auto reserved = ENVELOPE_BYTES + submission.head.id.size() + attempt.size();
+    const auto partBytes = recordBytes > 2 * reserved ? recordBytes - reserved : recordBytes / 2;
     const auto count = std::max<std::size_t>(1, (data.size() + partBytes - 1) / partBytes);
     auto records = std::vector<std::string>();
     for (auto index = std::size_t(0); index < count; ++index) {
--- /dev/null
+++ b/src/version/batch/resultqueue.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "version/batch/batch.h"
+#include "version/journal/ijournal.h"
+
+namespace nutmegplank::version::batch {
+
+//! Results, or progress, of one batch that share a record.
+struct ResultGroup
+{
+    std::string batch;
+    std::vector<Result> results;
+    std::vector<Progress> progress;
+
+    auto size() const -> std::size_t { return results.size() + progress.size(); }
+};
+
+//! Two halves of \a group, which has at least two entries.
+auto splitGroup(ResultGroup group) -> std::pair<ResultGroup, ResultGroup>;
+
+//! What waits to be written into the log, in the order in which it came. Not thread-safe.
+class ResultQueue
+{
+public:
+    auto add(const std::string &batch, Result result) -> void;
+    //! Replaces older progress of the same item. Progress without events says that the text which
+    //! was stored before is invalid; it is written before what follows it.
+    auto addProgress(const std::string &batch, Progress progress) -> void;
+    //! Removes and returns the groups of the next append. Each fits a record, unless a single
+    //! entry is larger than one. Results go alone: they are waited for, and progress is not.
+    auto take(const journal::AppendLimits &limits) -> std::vector<ResultGroup>;
+    auto clear() -> void;
+    auto empty() const -> bool { return m_results.empty() && m_progress.empty(); }
+    auto bytes() const -> std::size_t { return m_bytes; }
+
+private:
+    struct WaitingProgress
+    {
+        Progress newest;
+        bool discarded = false; //!< The text that was stored before is invalid.
+    };
+
+    auto takeResults(const journal::AppendLimits &limits) -> std::vector<ResultGroup>;
+    auto takeProgress(const journal::AppendLimits &limits) -> std::vector<ResultGroup>;
+
+    std::map<std::string, std::deque<Result>> m_results;                        //!< By batch.
+    std::map<std::string, std::map<std::uint32_t, WaitingProgress>> m_progress; //!< By batch.
+    std::size_t m_bytes = 0;
+};
+
+} // namespace nutmegplank::version::batch
--- a/src/version/batch/tests/batchcodec_tests.cpp
+++ b/src/version/batch/tests/batchcodec_tests.cpp
@@ -43,6 +43,20 @@
     EXPECT_EQ(read->items[19].body, std::string(500, '\x13'));
 }
 
+//! The id of a batch is a header of its call, and may be long.
+TEST(BatchCodec, BatchCodec_SubmissionWithALongId_FitsItsRecords)
+{
+    constexpr auto RECORD_BYTES = std::size_t(8192);
+    auto submission = largeSubmission();
+    submission.head.id = std::string(1500, 'b');
+    auto assembler = SubmissionAssembler(submission.head.id, "try");
+    for (const auto &record : encodeSubmission(submission, "try", RECORD_BYTES)) {
+        EXPECT_LE(record.size(), RECORD_BYTES);
+        assembler.addRecord(record);
+    }
+    EXPECT_TRUE(assembler.finish().has_value());
+}
+
 TEST(BatchCodec, BatchCodec_PartsOfAnotherAttempt_AreIgnored)
 {
     const auto mine = encodeSubmission(largeSubmission(), "mine", 1 << 20);
--- a/src/version/journal/ijournal.h
+++ b/src/version/journal/ijournal.h
@@ -69,16 +69,18 @@
 
 enum class AppendOutcome {
     Done,
-    NotWritten, //!< Nothing was written: the log rejected the request or it was never sent.
+    NotWritten, //!< Nothing was written: the log is busy or away, or the request was never sent.
+    Rejected,   //!< Nothing was written, and a repeat would be refused as well.
     Conflict,   //!< The partition does not end at the required offset.
     Fenced,     //!< The log has already seen a higher epoch of this producer.
     Sequence, //!< Not the producer's next sequence number; AppendResult::end has the expected one.
     Unknown,  //!< No response: the records may be written, now or later, or not.
 };
 
-constexpr auto APPEND_OUTCOME_NAMES = base::EnumTable<AppendOutcome, 6> { {
+constexpr auto APPEND_OUTCOME_NAMES = base::EnumTable<AppendOutcome, 7> { {
     { AppendOutcome::Done, "done" },
     { AppendOutcome::NotWritten, "not_done" },
+    { AppendOutcome::Rejected, "rejected" },
     { AppendOutcome::Conflict, "conflict" },
     { AppendOutcome::Fenced, "fenced" },
     { AppendOutcome::Sequence, "sequence" },
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -22,6 +22,8 @@
 LEASE_TERM = 1.5
 #: Memory of the smallest machine of the users' deployments.
 SMALLEST_MACHINE_MB = 160
+#: At 64 KB every 5 ms an answer is larger than that by then.
+ENDLESS_SECONDS = 9
 GRACE = 8
 #: The longest read of a machine that asks while a caller waits, and a batch kept.
 NOTICE_BOUND = 1.0
@@ -219,6 +221,63 @@
             self.check_results(self.world.wait_results(node, "b1", 40), 40)
         self.assertEqual([engine.garble_next for engine in self.world.engines], [0, 0, 0])
 
+    def peak_mb(self, node):
+        with open(f"/proc/{node.popen.pid}/status", encoding="ascii") as status:
+            return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:")) / 1024
+
+    def test_answer_without_end_costs_neither_the_holder_nor_other_batches(self):
+        for engine in self.world.engines:
+            engine.endless_item = "item3"
+        holder = self.world.holder()
+        process = holder.popen.pid
+        reader = next(node for node in self.world.nodes if node is not holder)
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 8), 202)
+        self.assertEqual(len(self.world.wait_results(reader, "b1", 7)), 7)
+        began = time.monotonic()
+        for round_number in range(3):
+            time.sleep(3)
+            batch, first = f"c{round_number}", 100 * (round_number + 1)
+            self.assertEqual(self.world.submit(reader, batch, 8, first=first), 202)
+            self.assertEqual({result["state"] for result in self.world.wait_results(reader, batch, 8, 5)}, {"completed"})
+        self.assertGreater(time.monotonic() - began, ENDLESS_SECONDS)
+        self.assertTrue(holder.running())
+        self.assertEqual((self.world.holder().name, holder.popen.pid), (holder.name, process))
+        self.assertLess(self.peak_mb(holder), SMALLEST_MACHINE_MB)
+        self.assertEqual(self.world.store.oversized, 0)
+        runs = [engine.name for engine in self.world.engines for run in engine.requests if run["id"] == "item3"]
+        self.assertGreater(len(set(runs)), 1, "another engine gets the item")
+        # Nothing allows it to be given up yet.
+        self.assertNotIn("item3", [result["id"] for result in self.world.results(reader, "b1")["results"]])
+        for engine in self.world.engines[1:]:
+            engine.endless_item = None
+        self.check_results(self.world.wait_results(reader, "b1", 8, 10), 8)
+
+    def test_texts_of_almost_a_record_are_listed_whole(self):
+        # Six events of an item fill almost a record, or more than half of one.
+        padding = {f"item{number}": 43000 if number % 2 == 0 else 24000 for number in range(8)}
+        for engine in self.world.engines:
+            engine.padding, engine.pace = padding, 0.1
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", 8), 202)
+        eventually(lambda: sum(len(engine.requests) for engine in self.world.engines) == 8, 5, "all items run")
+        # Their results wait together.
+        self.world.store.mode = "busy"
+        eventually(lambda: sum(engine.running for engine in self.world.engines) == 0, 5, "all items done")
+        time.sleep(0.2)
+        self.world.store.mode = "up"
+        results = []
+        until = time.monotonic() + 15
+        while len(results) < 8 and time.monotonic() < until:
+            page = self.world.results(self.world.nodes[1], "b1", after=len(results))
+            results += [] if page is None else page["results"]
+        self.assertEqual(sorted(result["id"] for result in results), sorted(padding))
+        for result in results:
+            events = [line.split(" x") for line in result["text"].split("\n")]
+            self.assertEqual([len(filler) + 1 for _, filler in events], [padding[result["id"]]] * 6)
+            self.assertEqual([parse_event(event).number for event, _ in events], list(range(1, 7)))
+        runs = [run["id"] for engine in self.world.engines for run in engine.requests]
+        self.assertEqual(sorted(runs), sorted(padding), "no item was run again")
+        self.assertEqual(self.world.store.oversized, 0)
+
     def test_error_answers_leave_no_trace_in_resumed_texts(self):
         """Runs break off in the middle and are refused with errors elsewhere before they go on."""
         for engine in self.world.engines:
@@ -326,9 +385,7 @@
                 caller.join(5)
         self.assertEqual(len(statuses), 60)
         self.assertFalse({200, 503, 429} & set(statuses[:20]), statuses)
-        with open(f"/proc/{node.popen.pid}/status", encoding="ascii") as status:
-            peak = next(int(line.split()[1]) for line in status if line.startswith("VmHWM:")) / 1024
-        self.assertLess(peak, SMALLEST_MACHINE_MB)
+        self.assertLess(self.peak_mb(node), SMALLEST_MACHINE_MB)
 
     def test_paused_machine_acts_on_no_key_that_was_withdrawn_meanwhile(self):
         """The request and the news of the withdrawal both wait for the machine when it wakes."""
--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -170,6 +170,9 @@
         self.fail_next, self.running = 0, 0
         self.crash_next = 0  #: So many runs end with a reset before their next event.
         self.lose_next = 0  #: So many requests get a reset in place of a response.
+        self.padding: dict[str, int] = {}  #: Bytes that each event of an item has beside what it says.
+        self.endless_item: str | None = None  #: Its answers go on after their last event, without an end.
+        self.filler, self.filler_pause = b"x" * 65536, 0.005
         self.garble_next = 0  #: The data of so many events of items is not UTF-8.
         self.last_event_at: dict[str, float] = {}  #: By item.
         self.failures: collections.Counter = collections.Counter()  #: By request.
@@ -241,7 +244,13 @@
                 version = self.version
                 self.last_event_at[item] = time.monotonic()
                 data = EventData(item, number, self.software, version)
-                yield f"{change}id: {number}\ndata: {data}\n\n".encode()
+                padding = " " + "x" * self.padding[item] if item in self.padding else ""
+                yield f"{change}id: {number}\ndata: {data}{padding}\n\n".encode()
+            number = max(start, self.events)
+            while item == self.endless_item:
+                number += 1
+                yield b"id: %d\ndata: %s\n\n" % (number, self.filler)
+                await asyncio.sleep(self.filler_pause)
         finally:
             self.running -= 1
 
--- a/tests/platformworld/store.py
+++ b/tests/platformworld/store.py
@@ -16,6 +16,8 @@
 #: Repeats of this many last appends of a producer get their first answer again.
 REMEMBERED_APPENDS = 5
 KEYED_PREFIX = "keyed."
+#: A call with a larger record is refused whole; of the platform's settings.
+RECORD_BYTES = 262144
 #: Topics that only operators and servers write; here through `put`.
 FOREIGN_TOPICS = ("keyed.op", "keyed.servers")
 
@@ -100,6 +102,7 @@
         self.late_by = 1.0
         self.slow = 0.0
         self.calls = self.refused = 0
+        self.oversized = 0  #: Appends with a record above RECORD_BYTES.
         self.writes, self.reads = Rate(writes_per_s), Rate(reads_per_s)
 
     def partition(self, topic: str, number: int = 0) -> Partition:
@@ -169,6 +172,9 @@
     def perform(self, partition: Partition, request: Request) -> Answer:
         query = request.query
         records = split_records(request.body)
+        if any(len(record) > RECORD_BYTES for record in records):
+            self.oversized += 1
+            return Answer(400)
         producer, epoch, sequence = query.get("producer"), int(query.get("epoch", 0)), int(query.get("sequence", 0))
         known = [answer for at_epoch, at_sequence, answer in partition.answers.get(producer, [])
                  if (at_epoch, at_sequence) == (epoch, sequence)]
