Count crashes by ended server processes, and let marks end

Cause: a broken connection counted as a crash, also at a server that lived on, and an answer over our size limit counted as one, too. Many equal requests at one process counted as many. Each heartbeat that was read renewed a mark, so that two machines could keep one for ever, and an answer ended a mark at one machine only.

Change: what counts is the end of a server's process while it ran the request: it refuses connections, or another incarnation is recorded. Machines tell each other which processes ended and when, only what they saw themselves, at once. A retry asks again before it is sent.

--- a/src/app/node/membership.cpp
+++ b/src/app/node/membership.cpp
@@ -12,6 +12,7 @@
 #include "process/logging/logging.h"
 #include "process/logging/taskfailure.h"
 #include "process/members/limitreportcodec.h"
+#include "request/forward/requestreportcodec.h"
 
 namespace nutmegplank::app::node {
 
@@ -28,6 +29,8 @@
 constexpr auto APPEND_TIME = std::chrono::milliseconds(800);
 //! A heartbeat read from a snapshot counts as older than this when its time can't be told.
 constexpr auto SNAPSHOT_AGE_LIMIT = std::chrono::seconds(60);
+//! A heartbeat of a machine that is long gone says nothing new of requests.
+constexpr auto SUSPICION_AGE_LIMIT = std::chrono::hours(24);
 constexpr auto SNAPSHOT_WAIT = std::chrono::milliseconds(1500);
 constexpr auto SNAPSHOT_CHECK = std::chrono::milliseconds(10);
 
@@ -77,10 +80,10 @@
     record.set_zone(m_settings.zone);
     record.set_serving(m_serving);
     record.set_true_ms(m_trueTime.milliseconds(now));
-    for (const auto &suspicion : m_suspects.localCounts()) {
+    for (const auto &report : m_suspects.reports(now)) {
         auto &added = *record.add_suspicions();
-        added.set_fingerprint(suspicion.fingerprint);
-        added.set_crashes(suspicion.crashes);
+        added.set_fingerprint(request::forward::encodeReport(report, now));
+        added.set_crashes(static_cast<std::uint32_t>(report.crashes.size()));
     }
     for (const auto &report : m_limits.takeReports(now))
         *record.add_limits() = process::members::encodeLimitReport(report, now);
@@ -130,15 +133,27 @@
     }
     m_members.hear(record, age, now);
     hearLimits(record, now);
+    hearSuspicions(record, now);
     if (record.node() == m_settings.node)
         return;
     // Heartbeats from before an outage of the log are read after it and look seconds old.
     const auto prompt = now - m_follower.reachability().recoveredAt() > PROMPT_AFTER;
     if (fresh && prompt)
         m_trueTime.hear(record.node(), record.true_ms(), now);
-    for (const auto &suspicion : record.suspicions())
-        m_suspects.setRemoteCrashes(record.node(), { suspicion.fingerprint(), suspicion.crashes() },
-                                    now);
+}
+
+//! Also those of the former process on this machine.
+auto Membership::hearSuspicions(const record::MemberRecord &record, base::TimePoint now) -> void
+{
+    if (record.incarnation() == m_incarnation)
+        return;
+    const auto told = std::chrono::milliseconds(m_trueTime.milliseconds(now) - record.true_ms());
+    const auto age = std::clamp<base::Duration>(told, base::Duration(0), SUSPICION_AGE_LIMIT);
+    for (const auto &suspicion : record.suspicions()) {
+        const auto report = request::forward::decodeReport(suspicion.fingerprint(), now - age);
+        if (report.has_value())
+            m_suspects.hear(*report, now);
+    }
 }
 
 auto Membership::hearLimits(const record::MemberRecord &record, base::TimePoint now) -> void
--- a/src/app/node/membership.h
+++ b/src/app/node/membership.h
@@ -28,6 +28,8 @@
     auto start() -> void;
     //! Whether callers may be sent here; told to the others at once when it changes.
     auto setServing(bool serving) -> void;
+    //! Sends a heartbeat now and not when it is due.
+    auto announce() -> void { m_timer.cancel(); }
     //! Addresses that callers may use now, at most \a most, those in \a zone first.
     auto addresses(const std::string &zone, std::size_t most, base::TimePoint now) const
         -> std::vector<std::string>;
@@ -40,6 +42,7 @@
 private:
     auto heartbeatLoop() -> boost::asio::awaitable<void>;
     auto hear(const version::journal::KeyedRecord &record, base::TimePoint now) -> void;
+    auto hearSuspicions(const record::MemberRecord &record, base::TimePoint now) -> void;
     auto hearLimits(const record::MemberRecord &record, base::TimePoint now) -> void;
     auto waitForSnapshot() -> boost::asio::awaitable<void>;
     auto encodeHeartbeat(base::TimePoint now) -> std::string;
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -72,6 +72,7 @@
                       })
     , m_duties(m_settings.cloudEndpoint, m_settings.node, m_fencedCalls)
     , m_servers({})
+    , m_suspects([this] { m_membership.announce(); })
     , m_routing(nullptr)
     , m_operatorFollower(m_runtime.context(), m_store,
                          { { platform::OPERATOR_TOPIC, 0 }, LONG_POLL },
@@ -336,8 +337,10 @@
     const auto id = server->id;
     const auto incarnation = server->incarnation;
     const auto *known = m_servers.find(id);
-    if (known != nullptr && known->record.incarnation != incarnation)
+    if (known != nullptr && known->record.incarnation != incarnation) {
         m_health.limits().forget(id, now);
+        m_suspects.noteProcessEnded(id, known->record.incarnation, now);
+    }
     for (const auto &[model, version] : server->modelVersion)
         m_engines.noteVersion(id, incarnation, model, version);
     m_streamOrigins.noteServer(server->service, server->software);
--- a/src/connection/http/httpclient.h
+++ b/src/connection/http/httpclient.h
@@ -27,6 +27,11 @@
 auto connect(std::string endpoint, ConnectOptions options = {})
     -> boost::asio::awaitable<absl::StatusOr<std::unique_ptr<IHttpConnection>>>;
 
+//! Whether connect() failed because nothing listens at the endpoint, whose host answers.
+auto isRefused(const absl::Status &status) -> bool;
+//! Whether an answer was given up because it is larger than ConnectOptions::bodyBytes.
+auto isTooLarge(const absl::Status &status) -> bool;
+
 //! One exchange on \a connection, with the whole body. The caller closes the connection or keeps
 //! it. On an error, whether the peer acted is not known.
 auto exchangeWhole(IHttpConnection &connection, const Request &request, base::TimePoint deadline)
--- a/src/connection/http/internal/httpclient.cpp
+++ b/src/connection/http/internal/httpclient.cpp
@@ -38,8 +38,10 @@
 auto failure(std::string_view step, const std::string &peer, beast::error_code error)
     -> absl::Status
 {
-    return base::makeError(absl::StatusCode::kUnavailable, error.message(),
-                           { std::string(step), peer });
+    const auto refused = error == asio::error::connection_refused;
+    const auto code =
+        refused ? absl::StatusCode::kFailedPrecondition : absl::StatusCode::kUnavailable;
+    return base::makeError(code, error.message(), { std::string(step), peer });
 }
 
 auto timeLeft(base::TimePoint deadline) -> base::Duration
@@ -49,6 +51,16 @@
 
 } // namespace
 
+auto isRefused(const absl::Status &status) -> bool
+{
+    return status.code() == absl::StatusCode::kFailedPrecondition;
+}
+
+auto isTooLarge(const absl::Status &status) -> bool
+{
+    return status.code() == absl::StatusCode::kOutOfRange;
+}
+
 auto connect(std::string endpoint, ConnectOptions options)
     -> asio::awaitable<absl::StatusOr<std::unique_ptr<IHttpConnection>>>
 {
--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -43,9 +43,11 @@
 auto HttpConnection<Stream>::errorAt(std::string_view step, beast::error_code error) const
     -> absl::Status
 {
-    const auto timedOut = error == beast::error::timeout;
-    const auto code =
-        timedOut ? absl::StatusCode::kDeadlineExceeded : absl::StatusCode::kUnavailable;
+    auto code = absl::StatusCode::kUnavailable;
+    if (error == beast::error::timeout)
+        code = absl::StatusCode::kDeadlineExceeded;
+    else if (error == beast::http::error::body_limit)
+        code = absl::StatusCode::kOutOfRange;
     return base::makeError(code, error.message(), { std::string(step), m_peer });
 }
 
--- a/src/connection/http/tests/endlessanswer_tests.cpp
+++ b/src/connection/http/tests/endlessanswer_tests.cpp
@@ -93,6 +93,40 @@
     EXPECT_TRUE(!result.ok() || isInterim);
 }
 
+//! The server is sound: it must not be taken for one that went away.
+TEST(TooLargeAnswer, Http_AnswerOverTheLimit_IsNamedAsSuch)
+{
+    for (const auto *head :
+         { "HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n" }) {
+        auto server = EndlessServer({ "TooLarge", head, "x" });
+        auto options = ConnectOptions();
+        options.bodyBytes = BODY_LIMIT;
+        auto context = asio::io_context();
+        auto response = asio::co_spawn(
+            context, fetch(server.endpoint(), { "GET", "/", {}, "", "" }, TIME_LIMIT, options),
+            asio::use_future);
+        context.run();
+        const auto result = response.get();
+        ASSERT_FALSE(result.ok());
+        EXPECT_TRUE(isTooLarge(result.status()));
+        EXPECT_FALSE(isRefused(result.status()));
+    }
+}
+
+TEST(RefusedConnection, Http_NothingListens_IsNamedAsSuch)
+{
+    auto context = asio::io_context();
+    auto acceptor = asio::ip::tcp::acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto endpoint = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    acceptor.close();
+    auto connection = asio::co_spawn(context, connect(endpoint), asio::use_future);
+    context.run();
+    const auto result = connection.get();
+    ASSERT_FALSE(result.ok());
+    EXPECT_TRUE(isRefused(result.status()));
+    EXPECT_FALSE(isTooLarge(result.status()));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Http, EndlessAnswer,
     testing::Values(
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -1,11 +1,15 @@
 #include "request/forward/forwarder.h"
 
+#include <array>
+#include <tuple>
+
 #include <boost/asio.hpp>
 
 #include "base/hash.h"
 #include "base/status.h"
 #include "base/text.h"
 #include "process/logging/logging.h"
+#include "process/logging/taskfailure.h"
 #include "request/forward/servicechoice.h"
 #include "request/serverprotocol/headobservation.h"
 #include "request/serverprotocol/ownresponse.h"
@@ -40,6 +44,12 @@
 //! The smoothed latency moves by the difference to a new sample divided by this.
 constexpr auto LATENCY_SMOOTHING = 5;
 constexpr auto SERVER_ERROR = 500U;
+//! Looks at a server that broke a connection; the last after which a process that is slow to end
+//! has closed its port.
+constexpr auto PROCESS_CHECKS =
+    std::array { std::chrono::milliseconds(20), std::chrono::milliseconds(250),
+                 std::chrono::milliseconds(1000) };
+constexpr auto PROCESS_CHECK_TIME = std::chrono::milliseconds(400);
 
 auto isRetryable(const version::routing::Route &route) -> bool
 {
@@ -164,6 +174,11 @@
             result.detail = "no time left";
             co_return result;
         }
+        if (m_dependencies.poisonRequests.isPoison(fingerprint, now)) {
+            result.end =
+                progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::Quarantined;
+            co_return result;
+        }
         const auto server = chooseServer(call, progress);
         if (!server.has_value()) {
             const auto limitedFor = waitForAllowance(call);
@@ -196,8 +211,7 @@
         result.detail = attemptResult.detail;
         if (attemptResult.end == AttemptOutcome::SinkGone || handle->cancelled())
             break;
-        if (attemptResult.end == AttemptOutcome::Lost && attemptResult.reset)
-            m_dependencies.poisonRequests.recordCrash(fingerprint, m_dependencies.now());
+        noteCrashEvidence(fingerprint, *server, attemptResult, now);
         const auto attemptsExhausted = progress.sent >= std::max(1U, call.route.maxAttempts);
         if (attemptResult.end == AttemptOutcome::Answered) {
             const auto failed = attemptResult.response.status >= SERVER_ERROR;
@@ -205,7 +219,6 @@
                 continue;
             if (attemptResult.streamed && !attemptResult.complete)
                 co_await m_streamVersions.verify(call, *server);
-            m_dependencies.poisonRequests.clear(fingerprint);
             result.end = ForwardOutcome::Answered;
             result.response = std::move(attemptResult.response);
             result.streamed = attemptResult.streamed;
@@ -213,7 +226,8 @@
             co_return result;
         }
         const auto lost = attemptResult.end == AttemptOutcome::Lost;
-        if (lost && (attemptsExhausted || !isRetryable(call.route))) {
+        const auto tooLarge = attemptResult.end == AttemptOutcome::TooLarge;
+        if (tooLarge || (lost && (attemptsExhausted || !isRetryable(call.route)))) {
             result.end = m_dependencies.now() + ANSWER_MARGIN >= call.deadline
                 ? ForwardOutcome::Expired
                 : ForwardOutcome::Unknown;
@@ -226,6 +240,48 @@
     co_return result;
 }
 
+auto Forwarder::noteCrashEvidence(const std::string &fingerprint, const Server &server,
+                                  const Attempt &attempt, base::TimePoint sentAt) -> void
+{
+    auto &requests = m_dependencies.poisonRequests;
+    const auto &[id, incarnation] = std::tie(server.record.id, server.record.incarnation);
+    const auto now = m_dependencies.now();
+    if (attempt.refused)
+        requests.noteProcessEnded(id, incarnation, now);
+    const auto answered = attempt.end == AttemptOutcome::Answered && attempt.complete;
+    if (answered || attempt.end == AttemptOutcome::NotRun)
+        requests.noteProcessAlive(id, sentAt);
+    if (answered && attempt.response.status < SERVER_ERROR)
+        requests.recordAnswer(fingerprint, now);
+    // One that leaves may end with requests at work.
+    const auto *current = m_dependencies.servers.find(id);
+    if (!attempt.reset || current == nullptr || !m_dependencies.servers.usable(*current))
+        return;
+    requests.recordLoss(fingerprint, id, incarnation, now);
+    if (m_watched.insert(id).second)
+        asio::co_spawn(m_dependencies.context, watchProcess(server),
+                       logging::LogTaskFailure("forward.watch_process"));
+}
+
+auto Forwarder::watchProcess(Server server) -> asio::awaitable<void>
+{
+    const auto &id = server.record.id;
+    auto options = http::ConnectOptions();
+    options.timeout = PROCESS_CHECK_TIME;
+    auto timer = asio::steady_timer(m_dependencies.context);
+    for (const auto pause : PROCESS_CHECKS) {
+        timer.expires_after(pause);
+        co_await timer.async_wait(USE_TUPLE);
+        const auto connection = co_await http::connect(server.record.endpoint, options);
+        if (connection.ok() || !http::isRefused(connection.status()))
+            continue;
+        m_dependencies.poisonRequests.noteProcessEnded(id, server.record.incarnation,
+                                                       m_dependencies.now());
+        break;
+    }
+    m_watched.erase(id);
+}
+
 auto Forwarder::noteAttempt(const ForwardCall &call, const Server &server, const Attempt &attempt,
                             base::TimePoint startedAt, Progress &progress) -> void
 {
@@ -260,6 +316,7 @@
     case AttemptOutcome::Lost:
         m_dependencies.health.noteLost(id, coldStartRule(server.record.service), now);
         break;
+    case AttemptOutcome::TooLarge:
     case AttemptOutcome::SinkGone:
         break;
     }
@@ -282,6 +339,7 @@
     auto result = Attempt();
     if (!connection.ok()) {
         result.end = AttemptOutcome::Unreachable;
+        result.refused = http::isRefused(connection.status());
         result.detail = base::describe(connection.status());
     } else if (!handle.cancelled()) {
         handle.attach(*connection);
@@ -318,8 +376,9 @@
     };
     auto result = Attempt();
     const auto lost = [&result](const absl::Status &status) {
-        result.end = AttemptOutcome::Lost;
-        result.reset = status.code() != absl::StatusCode::kDeadlineExceeded;
+        const auto tooLarge = http::isTooLarge(status);
+        result.end = tooLarge ? AttemptOutcome::TooLarge : AttemptOutcome::Lost;
+        result.reset = !tooLarge && status.code() != absl::StatusCode::kDeadlineExceeded;
         result.detail = base::describe(status);
         return result;
     };
@@ -371,8 +430,10 @@
         if (!part.ok()) {
             result.detail = base::describe(part.status());
             result.complete = false;
+            const auto tooLarge = http::isTooLarge(part.status());
+            result.reset = !tooLarge && part.status().code() != absl::StatusCode::kDeadlineExceeded;
             if (!result.streamed)
-                result.end = AttemptOutcome::Lost;
+                result.end = tooLarge ? AttemptOutcome::TooLarge : AttemptOutcome::Lost;
             co_return result;
         }
         if (!part->has_value())
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -69,14 +69,17 @@
         Unreachable,
         NotRun,
         Lost, //!< Sent, but no complete answer was received.
+        //! The answer is over the size limit, which says nothing of its server.
+        TooLarge,
         SinkGone,
     };
 
-    static constexpr auto ATTEMPT_OUTCOME_NAMES = base::EnumTable<AttemptOutcome, 5> { {
+    static constexpr auto ATTEMPT_OUTCOME_NAMES = base::EnumTable<AttemptOutcome, 6> { {
         { AttemptOutcome::Answered, "answered" },
         { AttemptOutcome::Unreachable, "unreachable" },
         { AttemptOutcome::NotRun, "not_run" },
         { AttemptOutcome::Lost, "lost" },
+        { AttemptOutcome::TooLarge, "too_large" },
         { AttemptOutcome::SinkGone, "caller_gone" },
     } };
 
@@ -86,9 +89,10 @@
         connection::http::Response response;
         bool streamed = false;
         bool complete = true;
-        //! The connection failed, other than by a timeout, before the head of the answer was read,
-        //! so the server may have crashed.
+        //! The connection failed, other than by a timeout, before the end of the answer, so the
+        //! server may have crashed.
         bool reset = false;
+        bool refused = false;       //!< Nothing listens at the server's address.
         bool skippedOthers = false; //!< Answers to other requests arrived first.
         std::string detail;
     };
@@ -116,6 +120,11 @@
     auto readAnswer(const ForwardCall &call, connection::http::IHttpConnection &connection,
                     connection::http::Response head, base::TimePoint until, IAnswerSink &sink)
         -> boost::asio::awaitable<Attempt>;
+    //! What \a attempt says of the request and of the server's process.
+    auto noteCrashEvidence(const std::string &fingerprint, const process::servers::Server &server,
+                           const Attempt &attempt, base::TimePoint sentAt) -> void;
+    //! Finds out whether the process of a server that broke a connection has ended.
+    auto watchProcess(process::servers::Server server) -> boost::asio::awaitable<void>;
     auto attemptDeadline(const ForwardCall &call, const Progress &progress) const
         -> base::TimePoint;
     auto coldStartRule(const std::string &service) const -> process::health::ColdRule;
@@ -126,6 +135,7 @@
     StreamVersions m_streamVersions;
     std::unordered_map<std::string, std::uint32_t> m_outstanding; //!< By server id.
     std::unordered_map<std::string, base::Duration> m_latency;    //!< By server id, smoothed.
+    std::set<std::string> m_watched; //!< Ids of servers with a watchProcess() under way.
     process::metrics::Counter &m_attempts;
     process::metrics::Distribution &m_attemptSeconds;
 };
--- a/src/request/forward/poisonrequestdetector.h
+++ b/src/request/forward/poisonrequestdetector.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -9,43 +12,97 @@
 
 namespace nutmegplank::request::forward {
 
-//! Number of backend server crashes while a request with this fingerprint was running.
-struct RequestCrashCount
+//! The end of a backend server's process while it ran a request.
+struct ProcessEnd
+{
+    std::uint64_t process = 0; //!< Hash of the server's id and incarnation.
+    base::TimePoint at {};
+};
+
+//! What a machine itself saw of a request.
+struct RequestReport
 {
     std::string fingerprint;
-    std::uint32_t crashes = 0;
+    std::vector<ProcessEnd> crashes;
+    //! When a server last answered it, if it had been suspected before.
+    std::optional<base::TimePoint> answeredAt;
 };
 
 //! Tracks requests that may crash every backend server that runs them, so that they are refused.
-//! The counts of each machine are sent to the others with its heartbeats. Not thread-safe.
+//! A request is refused after processes of several servers ended under it; each process counts
+//! once, however many machines and copies of the request met its end. What each machine saw is sent
+//! to the others with its heartbeats, and ends a fixed time after the machine saw it. Not
+//! thread-safe.
 class PoisonRequestDetector
 {
 public:
+    //! \a onChange is called when there is something new to tell the other machines.
+    explicit PoisonRequestDetector(std::function<void()> onChange = {});
+
     //! First 128 bits of a SHA-256 digest, in hexadecimal; equal for a request and its repetition.
     static auto fingerprintOf(std::string_view workspace, std::string_view path,
                               std::string_view body) -> std::string;
 
-    //! Whether the crashes counted on all machines are enough to refuse the request.
+    //! Whether the crashes seen by all machines are enough to refuse the request.
     auto isPoison(const std::string &fingerprint, base::TimePoint now) const -> bool;
-    auto recordCrash(const std::string &fingerprint, base::TimePoint now) -> void;
-    //! Forgets a request that was answered, as it did not cause the crashes.
-    auto clear(const std::string &fingerprint) -> void;
-    //! Replaces the crash count of another machine by the one in its heartbeat.
-    auto setRemoteCrashes(const std::string &machine, const RequestCrashCount &crashCount,
-                          base::TimePoint now) -> void;
-    //! Crash counts of this machine.
-    auto localCounts() const -> std::vector<RequestCrashCount>;
+    //! The connection to a process of \a server broke while it ran the request. Counts once the
+    //! process is known to have ended, and only if the request was not answered lately.
+    auto recordLoss(const std::string &fingerprint, const std::string &server,
+                    std::int64_t incarnation, base::TimePoint now) -> void;
+    //! The process refuses connections, or another one took its place.
+    auto noteProcessEnded(const std::string &server, std::int64_t incarnation, base::TimePoint now)
+        -> void;
+    //! The server answered a request sent at \a sentAt: what broke before did not end it.
+    auto noteProcessAlive(const std::string &server, base::TimePoint sentAt) -> void;
+    //! A server ran the request to its end, so it did not cause the crashes.
+    auto recordAnswer(const std::string &fingerprint, base::TimePoint now) -> void;
+    //! Takes in what another machine saw.
+    auto hear(const RequestReport &report, base::TimePoint now) -> void;
+    //! What this machine saw.
+    auto reports(base::TimePoint now) const -> std::vector<RequestReport>;
     auto expire(base::TimePoint now) -> void;
 
 private:
+    struct Crash
+    {
+        base::TimePoint at {};
+        bool seenHere = false;
+    };
+
     struct Entry
     {
-        std::uint32_t localCrashes = 0;
-        std::unordered_map<std::string, std::uint32_t> remoteCrashes; //!< By machine.
-        base::TimePoint expiresAt {};
+        std::map<std::uint64_t, Crash> crashes;    //!< By process.
+        std::optional<base::TimePoint> answeredAt; //!< Seen by any machine.
+        bool answeredHere = false;
+
+        auto newest() const -> base::TimePoint;
     };
 
-    std::unordered_map<std::string, Entry> m_entries;
+    //! A loss whose cause is not known yet.
+    struct Loss
+    {
+        std::string fingerprint;
+        std::string server;
+        std::int64_t incarnation = 0;
+        base::TimePoint at {};
+    };
+
+    struct Answer
+    {
+        std::uint64_t request = 0; //!< Hash of the fingerprint.
+        base::TimePoint at {};
+    };
+
+    auto answerSlot(const std::string &fingerprint) const -> std::size_t;
+    //! Whether this machine saw an answer to the request after \a time.
+    auto wasAnsweredSince(const std::string &fingerprint, base::TimePoint time) const -> bool;
+    auto countCrash(const Loss &loss, base::TimePoint now) -> void;
+    static auto clearUntil(Entry &entry, base::TimePoint answeredAt) -> void;
+
+    std::function<void()> m_onChange;
+    std::unordered_map<std::string, Entry> m_entries; //!< By fingerprint.
+    std::vector<Loss> m_losses;
+    std::vector<Answer> m_answers; //!< Direct-mapped: newer requests replace older ones.
 };
 
 } // namespace nutmegplank::request::forward
