Place items by predicted finish time and move runs to faster engines

Cause: where the engines of a service differ in speed (27 against 58 to 70 ms an event), long items began on slow engines and stayed there, as the cost was (running + 1) x slowdown and only engines twice as slow as the median one lost runs. Nearly every late batch waited for a few such items while fast engines stood idle, and a late batch delays all later steps of its trainer.

Change: EngineSpeeds learns the time per event of each engine and whether there are different kinds; only then placeByFinish and planFinishMoves replace placeItems and planMoves. LengthHistory learns length over hint by route, conditional on the events made. Least slack first, each item to the engine where it ends first; a run goes on at another engine if it ends 150 ms and 15% of its rest earlier there. EngineIndex finds engines without a look at all pairs. rollout.placed has event_ms and end_ms, rollout.moved is new, with three metrics.

Tests: 21 without network.

--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -85,6 +85,7 @@
         load.running = runningAt(id);
         load.cacheTokens = service->engine->cacheTokens;
         load.slowdown = m_states.slowdown(id);
+        load.eventSeconds = m_states.speeds().eventSeconds(id, now);
         if (!m_states.loading(id))
             load.startsLeft =
                 m_health.startsLeft(id, server.coldUntil, coldStartRule(record.service), now);
--- a/src/request/rollout/enginestates.h
+++ b/src/request/rollout/enginestates.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/timepoint.h"
+#include "request/rollout/enginespeeds.h"
 
 namespace nutmegplank::request::rollout {
 
@@ -32,7 +33,14 @@
     auto eventInterval(const std::string &engine, std::uint32_t running) const -> base::Duration;
     auto setLoading(const std::string &engine, bool loading) -> void;
     auto loading(const std::string &engine) const -> bool;
-    auto forget(const std::string &engine) -> void { m_engines.erase(engine); }
+    //! Measured times per event, for the placement by finish time.
+    auto speeds() -> EngineSpeeds & { return m_speeds; }
+    auto speeds() const -> const EngineSpeeds & { return m_speeds; }
+    auto forget(const std::string &engine) -> void
+    {
+        m_engines.erase(engine);
+        m_speeds.forget(engine);
+    }
 
 private:
     struct State
@@ -45,6 +53,7 @@
     };
 
     std::map<std::string, State> m_engines;
+    EngineSpeeds m_speeds;
     double m_medianIntervalSeconds = 0; //!< 0 while not known.
 };
 
--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+//! A late item delays its whole batch, while one that ends early costs nothing.
+constexpr auto PLANNED_QUANTILE = 0.8;
+
 auto tokensPerEvent(const version::routing::RoutingTable &table,
                     const version::routing::Route &route) -> std::uint32_t
 {
@@ -99,6 +102,22 @@
         source.expectedOutput, maxOutput, item.transcript->eventCount(), item.tokensPerEvent });
 }
 
+auto hintEvents(const OpenBatch &batch, std::size_t index) -> double
+{
+    const auto hint = batch.submission->items[index].expectedOutput;
+    return static_cast<double>(hint > 0 ? hint : DEFAULT_OUTPUT_TOKENS)
+        / batch.items[index].tokensPerEvent;
+}
+
+auto cautiousRemainingEvents(const LengthHistory &lengths, const OpenBatch &batch,
+                             std::size_t index) -> double
+{
+    const auto &item = batch.items[index];
+    const auto &route = item.route == nullptr ? std::string() : item.route->name;
+    return lengths.remainingEvents(route, hintEvents(batch, index), item.transcript->eventCount(),
+                                   PLANNED_QUANTILE);
+}
+
 auto describeWaiting(const OpenBatch &batch, std::size_t index, std::size_t handle) -> WaitingItem
 {
     const auto &submission = *batch.submission;
--- a/src/request/rollout/openbatch.h
+++ b/src/request/rollout/openbatch.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "request/rollout/itemrun.h"
+#include "request/rollout/lengthhistory.h"
 #include "request/rollout/placement.h"
 #include "request/rollout/rundecision.h"
 #include "version/batch/batch.h"
@@ -39,8 +40,10 @@
     std::uint32_t savedEvents = 0;   //!< In the progress last returned for storage.
     bool savedComplete = false;      //!< That progress said that the text is complete.
     std::uint32_t group = 0;         //!< Index into OpenBatch::unfinishedInGroup.
+    std::uint32_t moves = 0;         //!< Runs that were ended to go on at a faster engine.
     std::uint32_t sampledEvents = 0; //!< Of the current run, at the last interval sample.
     base::TimePoint sampledAt {};    //!< Time of the last event in that sample.
+    base::TimePoint predictedEnd {}; //!< Of the current run; not set while speeds are not known.
     base::TimePoint notBefore {};    //!< Earliest start of the next run.
     base::TimePoint waitingSince {}; //!< End of the last run, or opening of the batch.
 };
@@ -78,6 +81,11 @@
 auto progressOf(const OpenBatch &batch, std::size_t index) -> version::batch::Progress;
 //! The item as the placement sees it. \a handle is returned with its assignment.
 auto describeWaiting(const OpenBatch &batch, std::size_t index, std::size_t handle) -> WaitingItem;
+//! The caller's estimate of the item's whole output, in events.
+auto hintEvents(const OpenBatch &batch, std::size_t index) -> double;
+//! Events that the item still has to generate, by a cautious estimate.
+auto cautiousRemainingEvents(const LengthHistory &lengths, const OpenBatch &batch,
+                             std::size_t index) -> double;
 //! Estimated number of output tokens that the item still has to generate.
 auto expectedRemainingTokens(const OpenBatch &batch, std::size_t index) -> std::uint64_t;
 
--- a/src/request/rollout/outputestimate.cpp
+++ b/src/request/rollout/outputestimate.cpp
@@ -4,13 +4,6 @@
 
 namespace nutmegplank::request::rollout {
 
-namespace {
-
-//! Assumed whole output if the caller gives no estimate.
-constexpr auto DEFAULT_OUTPUT_TOKENS = std::uint64_t(256);
-
-} // namespace
-
 auto expectedRemainingTokens(const OutputEstimateInput &input) -> std::uint64_t
 {
     const auto perEvent = std::uint64_t(std::max(1U, input.tokensPerEvent));
--- a/src/request/rollout/outputestimate.h
+++ b/src/request/rollout/outputestimate.h
@@ -4,6 +4,9 @@
 
 namespace nutmegplank::request::rollout {
 
+//! Assumed whole output if the caller gives no estimate.
+constexpr auto DEFAULT_OUTPUT_TOKENS = std::uint64_t(256);
+
 //! Inputs for estimating an item's output, in tokens except \a producedEvents.
 struct OutputEstimateInput
 {
--- a/src/request/rollout/placement.cpp
+++ b/src/request/rollout/placement.cpp
@@ -59,16 +59,22 @@
 
 } // namespace
 
-auto canRunAt(const WaitingItem &item, const EngineLoad &engine) -> bool
+auto hasFreeSlot(const EngineLoad &engine) -> bool
+{
+    return engine.startsLeft > 0 && engine.running < engine.slots;
+}
+
+auto mayServe(const WaitingItem &item, const EngineLoad &engine) -> bool
 {
-    if (engine.startsLeft == 0 || engine.running >= engine.slots)
-        return false;
     if (item.route == nullptr || !servesRoute(engine, *item.route))
         return false;
-    if (!canResumeAt(item, engine))
-        return false;
     const auto version = engine.modelVersion.find(item.model);
-    if (version == engine.modelVersion.end() || version->second < item.minVersion)
+    return version != engine.modelVersion.end() && version->second >= item.minVersion;
+}
+
+auto canRunAt(const WaitingItem &item, const EngineLoad &engine) -> bool
+{
+    if (!hasFreeSlot(engine) || !mayServe(item, engine) || !canResumeAt(item, engine))
         return false;
     // An idle engine may take an item of any size.
     if (engine.cacheTokens == 0 || engine.running == 0)
--- a/src/request/rollout/placement.h
+++ b/src/request/rollout/placement.h
@@ -24,6 +24,7 @@
     std::uint64_t cacheTokens = 0;    //!< Cache capacity in tokens; 0 if not known.
     std::uint64_t reservedTokens = 0; //!< Cache tokens that its running items will likely need.
     double slowdown = 1.0;            //!< Time per event relative to the median engine.
+    double eventSeconds = 0;          //!< Expected time per event; 0 if not known of any engine.
     std::uint32_t startsLeft = 0;     //!< Further requests that may be sent to it now.
     std::map<std::string, std::uint64_t> modelVersion; //!< Weight version by model.
 
@@ -38,6 +39,7 @@
     std::string model;
     std::uint64_t minVersion = 0;     //!< Oldest weight version allowed.
     std::uint64_t expectedTokens = 0; //!< Estimated output still to be generated.
+    double remainingEvents = 1.0;     //!< Events still to be generated, by a cautious estimate.
     std::uint64_t contextTokens = 0;  //!< Cache tokens needed at its start; set to the prompt's.
     base::TimePoint dueAt {};
     std::string avoidedEngine;       //!< Engine that failed it, or was slow.
@@ -53,6 +55,10 @@
     std::size_t engine = 0; //!< Index into the list of engines.
 };
 
+//! Whether \a engine has a slot and may be sent a further request.
+auto hasFreeSlot(const EngineLoad &engine) -> bool;
+//! Whether \a engine serves the item's route with allowed weights, free or not.
+auto mayServe(const WaitingItem &item, const EngineLoad &engine) -> bool;
 //! Whether \a engine may run \a item now: it serves the item's route with allowed weights, and has
 //! a slot and cache for the item's expected output.
 auto canRunAt(const WaitingItem &item, const EngineLoad &engine) -> bool;
--- a/src/request/rollout/placementlog.cpp
+++ b/src/request/rollout/placementlog.cpp
@@ -5,9 +5,12 @@
 namespace nutmegplank::request::rollout {
 
 auto logPlacement(const OpenBatch &batch, std::size_t index, const EngineLoad &engine,
-                  base::Duration recordAge) -> void
+                  base::Duration recordAge, base::TimePoint now) -> void
 {
     const auto &transcript = *batch.items[index].transcript;
+    const auto predictedEnd = batch.items[index].predictedEnd;
+    const auto endMs =
+        predictedEnd == base::TimePoint() ? 0 : base::toMilliseconds(predictedEnd - now);
     process::logging::info("rollout.placed",
                            { { "batch", batch.id },
                              { "item", batch.submission->items[index].id },
@@ -16,6 +19,8 @@
                              { "begun_at", transcript.software() },
                              { "running", engine.running },
                              { "slowdown", engine.slowdown },
+                             { "event_ms", engine.eventSeconds * 1000.0 },
+                             { "end_ms", endMs },
                              { "weights", engine.modelVersion.at(batch.submission->head.model) },
                              { "expected_tokens", expectedRemainingTokens(batch, index) },
                              { "from_event", transcript.lastId() },
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -6,6 +6,8 @@
 
 #include "process/logging/logging.h"
 #include "process/logging/taskfailure.h"
+#include "request/rollout/finishestimate.h"
+#include "request/rollout/finishplan.h"
 #include "request/rollout/itemrequest.h"
 #include "request/rollout/moveplan.h"
 #include "request/rollout/placementlog.h"
@@ -39,6 +41,13 @@
                                             "Runs of items at engines."))
     , m_itemSeconds(m_dependencies.metrics.distribution("nutmegplank_item_run_seconds",
                                                         "Duration of complete runs of items."))
+    , m_moves(m_dependencies.metrics.counter("nutmegplank_item_moves_total",
+                                             "Runs ended to go on at a faster engine."))
+    , m_moveGain(m_dependencies.metrics.distribution("nutmegplank_item_move_gain_seconds",
+                                                     "Predicted gain of moves of runs."))
+    , m_predictionError(m_dependencies.metrics.distribution(
+          "nutmegplank_item_end_error_seconds",
+          "Difference of the real end of complete runs from the predicted one."))
 { }
 
 auto RolloutExecutor::start() -> void
@@ -102,6 +111,7 @@
     for (auto &[id, batch] : m_batches.all())
         resolveRoutes(batch, table);
     m_dependencies.engines.updateMedian();
+    m_dependencies.engines.speeds().update();
     abandonExpiredItems();
     m_supervisor.endFailedRuns(m_dependencies.now());
     place();
@@ -202,19 +212,62 @@
     auto waiting = std::vector<WaitingItem>();
     auto keys = std::vector<ItemKey>();
     m_batches.collectWaiting(waiting, keys, m_dependencies.now());
+    const auto byFinish = m_dependencies.engines.speeds().hasKinds();
     const auto anySlow = std::ranges::any_of(engines, isSlow);
-    if (waiting.empty() && !anySlow)
+    if (waiting.empty() && !anySlow && !byFinish)
         return;
     m_batches.reserveRunning(engines);
-    const auto assignments = placeItems(std::move(waiting), engines);
+    for (auto &item : waiting) {
+        const auto &key = keys[item.handle];
+        if (byFinish)
+            item.remainingEvents =
+                cautiousRemainingEvents(m_lengths, m_batches.all().at(key.batch), key.item);
+    }
+    const auto assignments = byFinish
+        ? placeByFinish(std::move(waiting), engines, m_dependencies.now())
+        : placeItems(std::move(waiting), engines);
     for (const auto &assignment : assignments)
         startRun(keys[assignment.handle], engines[assignment.engine]);
     if (assignments.size() < keys.size())
         m_loadTracker.noteHeldBack(engines, m_dependencies.now());
-    if (anySlow)
+    if (byFinish)
+        moveToFaster(engines);
+    else if (anySlow)
         m_supervisor.moveRuns(engines, m_dependencies.now());
 }
 
+auto RolloutExecutor::moveToFaster(std::vector<EngineLoad> &engines) -> void
+{
+    // Rounds after the end of a run may follow each other closely; moves look at all runs.
+    if (m_dependencies.now() - m_movesPlannedAt < TICK_INTERVAL)
+        return;
+    m_movesPlannedAt = m_dependencies.now();
+    for (const auto &move : m_supervisor.moveToFaster(engines, m_lengths, m_dependencies.now())) {
+        m_moves.add();
+        m_moveGain.record(move.endHere - move.endAtTarget);
+        const auto &batch = m_batches.all().at(move.key.batch);
+        logging::info("rollout.moved",
+                      { { "batch", batch.id },
+                        { "item", batch.submission->items[move.key.item].id },
+                        { "from", move.from },
+                        { "to", move.to },
+                        { "events", batch.items[move.key.item].transcript->eventCount() },
+                        { "end_here_ms", base::toMilliseconds(move.endHere) },
+                        { "end_there_ms", base::toMilliseconds(move.endAtTarget) },
+                        { "due_ms", base::toMilliseconds(batch.dueAt - m_dependencies.now()) } });
+    }
+}
+
+auto RolloutExecutor::predictEnd(const OpenBatch &batch, std::size_t index,
+                                 const EngineLoad &engine) const -> base::TimePoint
+{
+    if (engine.eventSeconds <= 0)
+        return {};
+    auto item = WaitingItem();
+    item.remainingEvents = cautiousRemainingEvents(m_lengths, batch, index);
+    return m_dependencies.now() + FinishEstimate::afterStart(item, engine);
+}
+
 auto RolloutExecutor::startRun(const ItemKey &key, const EngineLoad &engine) -> void
 {
     auto &batch = m_batches.all().at(key.batch);
@@ -231,7 +284,9 @@
     item.engine = engine.id;
     item.engineIncarnation = server->record.incarnation;
     item.sampledEvents = 0;
-    logPlacement(batch, key.item, engine, m_dependencies.now() - server->heardAt);
+    item.predictedEnd = predictEnd(batch, key.item, engine);
+    logPlacement(batch, key.item, engine, m_dependencies.now() - server->heardAt,
+                 m_dependencies.now());
     m_loadTracker.noteStart(engine.id, m_dependencies.now());
     m_runs.add();
     asio::co_spawn(m_dependencies.context, runItem(key, item.run, *server),
@@ -247,12 +302,24 @@
     const auto found = m_batches.all().find(key.batch);
     if (found == m_batches.all().end() || found->second.items[key.item].run != run)
         co_return;
-    if (outcome.end == RunEnd::Completed)
+    if (outcome.end == RunEnd::Completed) {
         m_itemSeconds.record(m_dependencies.now() - run->startedAt());
+        noteLength(found->second, key.item);
+    }
     finishRun(key, server, outcome);
     wake();
 }
 
+auto RolloutExecutor::noteLength(const OpenBatch &batch, std::size_t index) -> void
+{
+    const auto &item = batch.items[index];
+    if (item.route != nullptr)
+        m_lengths.noteLength(item.route->name, hintEvents(batch, index),
+                             item.transcript->eventCount());
+    if (item.predictedEnd != base::TimePoint())
+        m_predictionError.record(std::chrono::abs(m_dependencies.now() - item.predictedEnd));
+}
+
 auto RolloutExecutor::finishRun(const ItemKey &key, const Server &server, const RunOutcome &outcome)
     -> void
 {
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -86,6 +86,10 @@
     auto tickLoop() -> boost::asio::awaitable<void>;
     auto tick() -> void;
     auto place() -> void;
+    auto moveToFaster(std::vector<EngineLoad> &engines) -> void;
+    auto predictEnd(const OpenBatch &batch, std::size_t index, const EngineLoad &engine) const
+        -> base::TimePoint;
+    auto noteLength(const OpenBatch &batch, std::size_t index) -> void;
     auto startRun(const ItemKey &key, const EngineLoad &engine) -> void;
     auto runItem(ItemKey key, std::shared_ptr<ItemRun> run, process::servers::Server server)
         -> boost::asio::awaitable<void>;
@@ -110,6 +114,11 @@
     process::metrics::Counter &m_lostItems;
     process::metrics::Counter &m_runs;
     process::metrics::Distribution &m_itemSeconds;
+    process::metrics::Counter &m_moves;
+    process::metrics::Distribution &m_moveGain;
+    process::metrics::Distribution &m_predictionError;
+    LengthHistory m_lengths;
+    base::TimePoint m_movesPlannedAt {};
     bool m_active = false;
     bool m_wakePending = false;
     //! Incremented by each start(), so that a tick loop from before a restart ends.
