--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -95,6 +95,10 @@
     auto place() -> void;
     auto discardLargeTexts() -> void;
     auto discardText(OpenBatch &batch, std::size_t index) -> void;
+    auto moveToFaster(std::vector<EngineLoad> &engines) -> void;
+    auto predictEnd(const OpenBatch &batch, std::size_t index, const EngineLoad &engine) const
+        -> base::TimePoint;
+    auto noteLength(const OpenBatch &batch, std::size_t index) -> void;
     auto startRun(const ItemKey &key, const EngineLoad &engine) -> void;
     auto runItem(ItemKey key, std::shared_ptr<ItemRun> run, process::servers::Server server)
         -> boost::asio::awaitable<void>;
@@ -121,6 +125,11 @@
     process::metrics::Counter &m_oversized;
     process::metrics::Gauge &m_textBytes;
     process::metrics::Distribution &m_itemSeconds;
+    process::metrics::Counter &m_moves;
+    process::metrics::Distribution &m_moveGain;
+    process::metrics::Distribution &m_predictionError;
+    LengthHistory m_lengths;
+    base::TimePoint m_movesPlannedAt {};
     bool m_active = false;
     bool m_wakePending = false;
     //! Incremented by each start(), so that a tick loop from before a restart ends.
