--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -105,6 +105,7 @@
     crash_on: bytes | None = None
     late_copy: float | None = None
     endless = False  #: Its answers have no end.
+    echoes = True  #: Its answers hold the request's body.
 
     async def serve(self, request: Request) -> Answer:
         self.requests.append({"id": request.headers.get("x-request-id"), "headers": request.headers,
@@ -114,7 +115,7 @@
             raise Reset
         if self.endless:
             return Answer(200, self.stamp(request), chunks=self.bytes_without_end())
-        return Answer(200, self.stamp(request), b"done:" + request.body, late_copy=self.late_copy)
+        return Answer(200, self.stamp(request), b"done:" + (request.body if self.echoes else b""), late_copy=self.late_copy)
 
     @staticmethod
     async def bytes_without_end():
