Bound what callers' requests hold together

Cause: each body had a limit, but nothing bounded what all connections hold together, and callers could take more connections than a machine has descriptors. A body was held up to three times on its way to a server.

BodyIntake divides a share of the machine's memory among bodies as their bytes arrive. In want of room stalled bodies are refused with 503, first those of the address that holds the most; a body that finds none waits 2 s in sum at most. Small bodies keep a part of their own. Refusals free the body first and drop what still comes, so that the caller sees the answer. Connections of callers have a share of the machine's descriptors; at the limit the longest idle one goes. Bodies are no longer copied on their way to a server.

--- a/src/app/gateway/gatewaysettings.cpp
+++ b/src/app/gateway/gatewaysettings.cpp
@@ -13,18 +13,30 @@
 constexpr auto WAIT_RANGE = base::DurationRange { 10ms, 1h };
 constexpr auto HEADER_RANGE = base::IntegerRange { 1024, 1 << 20 };
 constexpr auto BODY_RANGE = base::IntegerRange { 1024, 1 << 30 };
+constexpr auto HELD_RANGE = base::IntegerRange { 1 << 20, std::int64_t(1) << 40 };
+//! One body of the largest size fits in beside the part for small ones.
+constexpr auto LEAST_HELD_SHARE = 1.25;
+constexpr auto LEAST_HELD_BYTES = std::uint64_t(64 * 1024 * 1024);
+//! By default several of the largest bodies fit in, beside the part for small ones.
+constexpr auto LARGEST_BODIES_HELD = std::uint64_t(2);
 constexpr auto CONNECTION_RANGE = base::IntegerRange { 1, 1 << 20 };
 constexpr auto ATTEMPT_RANGE = base::IntegerRange { 1, 20 };
 constexpr auto RESERVE_RANGE = base::IntegerRange { 0, 100'000 };
 
-auto readLimits(base::ObjectReader &reader) -> connection::http::ServerLimits
+auto readLimits(base::ObjectReader &reader, GatewaySettings &settings) -> void
 {
-    auto limits = connection::http::ServerLimits();
+    auto &limits = settings.limits;
     auto fields = reader.object("limits");
     limits.headerBytes = static_cast<std::uint32_t>(
         fields.integer("header_bytes", HEADER_RANGE, limits.headerBytes));
     limits.bodyBytes = static_cast<std::uint64_t>(
         fields.integer("body_bytes", BODY_RANGE, static_cast<std::int64_t>(limits.bodyBytes)));
+    const auto held = std::max(LEAST_HELD_BYTES, limits.bodyBytes * LARGEST_BODIES_HELD);
+    settings.heldBytes = static_cast<std::uint64_t>(
+        fields.integer("held_bytes", HELD_RANGE, static_cast<std::int64_t>(held)));
+    if (static_cast<double>(settings.heldBytes)
+        < static_cast<double>(limits.bodyBytes) * LEAST_HELD_SHARE)
+        fields.fail("held_bytes", "must be at least 1.25 times body_bytes");
     limits.connections = static_cast<std::uint32_t>(
         fields.integer("connections", CONNECTION_RANGE, limits.connections));
     limits.headerTime = fields.duration("header_time", WAIT_RANGE, limits.headerTime);
@@ -32,7 +44,6 @@
     limits.idleTime = fields.duration("idle_time", WAIT_RANGE, limits.idleTime);
     limits.writeTime = fields.duration("write_time", WAIT_RANGE, limits.writeTime);
     reader.absorb(fields);
-    return limits;
 }
 
 auto readTls(base::ObjectReader &reader) -> TlsSettings
@@ -86,7 +97,7 @@
     settings.idempotencyMemory = reader.duration("idempotency_memory", MEMORY_RANGE, 10min);
     settings.quarantineHold = reader.duration("quarantine_hold", HOLD_RANGE, 5min);
     settings.tls = readTls(reader);
-    settings.limits = readLimits(reader);
+    readLimits(reader, settings);
     readPolicy(reader, settings);
     if (settings.node.logService.empty())
         reader.fail("node.log_service", "must name the log service");
--- a/src/app/gateway/gatewaysettings.h
+++ b/src/app/gateway/gatewaysettings.h
@@ -27,6 +27,7 @@
     base::Duration quarantineHold {};
     TlsSettings tls;
     connection::http::ServerLimits limits;
+    std::uint64_t heldBytes = 0; //!< Of all requests' bodies together.
     request::execution::RunnerSettings runner;
     bool stepHedging = true;
 };
--- a/src/app/gateway/main.cpp
+++ b/src/app/gateway/main.cpp
@@ -8,6 +8,7 @@
 #include "process/clock/clock.h"
 #include "process/logging/logging.h"
 #include "process/membership/gossipmembership.h"
+#include "process/memory/allocator.h"
 #include "process/runtime/runtime.h"
 #include "request/refusal/refusal.h"
 #include "version/state/platformlog.h"
@@ -116,17 +117,30 @@
 {
     const auto &node = settings.node;
     const auto incarnation = static_cast<std::uint64_t>(process::clock::wallMilliseconds());
+    process::memory::mapLargeBuffers();
     auto runtime = process::runtime::Runtime(node.threads);
     auto &context = runtime.context();
     auto metrics = process::metrics::Registry();
     const auto tls = makeTls(settings);
     auto handler = LateHandler();
+    auto intakeLimits = process::memory::IntakeLimits();
+    intakeLimits.bytes = settings.heldBytes;
+    auto bounds = connection::http::CallerBounds();
+    bounds.intake = std::make_shared<process::memory::BodyIntake>(intakeLimits);
+    bounds.onTurnedAway = [&metrics](connection::http::TurnedAway reason) {
+        const auto name = base::nameOf(connection::http::TURNED_AWAY_NAMES, reason);
+        metrics
+            .counter("nutmegplank_callers_turned_away_total",
+                     "Callers that were let go without passing their request on.",
+                     { { "reason", std::string(name) } })
+            .add();
+    };
     auto server = connection::http::HttpServer(
         context, settings.limits,
         [&handler](connection::http::Request request, connection::http::IHttpResponder &responder) {
             return handler.handle(std::move(request), responder);
         },
-        tls ? [tls] { return tls->context(); } : connection::http::TlsContextSource());
+        tls ? [tls] { return tls->context(); } : connection::http::TlsContextSource(), bounds);
     const auto httpPort = orExit(server.listen(node.address, node.httpPort));
     auto link = orExit(connection::link::makeNngLink(
         context.get_executor(), { node.id, incarnation, node.address, node.linkPort, "" }));
--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -6,6 +6,7 @@
 #include "base/status.h"
 #include "platform/nodefile.h"
 #include "process/logging/logging.h"
+#include "process/memory/allocator.h"
 #include "process/runtime/runtime.h"
 #include "process/settings/settings.h"
 
@@ -41,6 +42,8 @@
         process::runtime::exitForBadSettings(base::describe(settings.status()));
     if (options.at("--check-settings").asBool())
         return 0;
+    if (settings->memoryBytes > 0)
+        process::memory::mapLargeBuffers();
     const auto node = settings->node;
     process::logging::startBounded("node", node, options.at("--log-level").asString());
     auto runtime = process::runtime::Runtime(1);
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -132,6 +132,7 @@
                     checkPause(process::clock::now());
                     return m_resuming;
                 } })
+    , m_callerGuard({ m_settings.memoryBytes, m_settings.descriptors }, m_metrics)
 {
     m_health.limits().setMachine(m_settings.node);
 }
@@ -145,6 +146,7 @@
     limits.bodyBytes = configured.bodyBytes;
     limits.headerTime = configured.headerTime;
     limits.idleTime = configured.idleTime;
+    limits.connections = m_callerGuard.connections(limits.connections);
     return limits;
 }
 
@@ -152,9 +154,11 @@
 {
     auto &context = m_runtime.context();
     m_callerServer = std::make_unique<http::HttpServer>(
-        context, callerLimits(), [this](http::Request request, http::IHttpResponder &responder) {
+        context, callerLimits(),
+        [this](http::Request request, http::IHttpResponder &responder) {
             return m_calls.handle(std::move(request), responder);
-        });
+        },
+        http::TlsContextSource(), m_callerGuard.bounds());
     m_directoryServer = std::make_unique<http::HttpServer>(
         context, http::ServerLimits(),
         [this](http::Request request, http::IHttpResponder &responder) -> asio::awaitable<void> {
@@ -285,7 +289,9 @@
     m_routing.store(*table);
     if (std::ranges::any_of((*table)->routes, &version::routing::Route::resumable))
         m_streamOrigins.start();
-    m_callerServer->setLimits(callerLimits());
+    const auto limits = callerLimits();
+    m_callerGuard.setLargestBody(limits.bodyBytes);
+    m_callerServer->setLimits(limits);
     m_conductor.wake();
 }
 
@@ -406,6 +412,7 @@
         const auto now = process::clock::now();
         checkPause(now);
         logging::flush();
+        m_callerGuard.report(now);
         m_servers.expire(now);
         m_suspects.expire(now);
         if (m_health.limits().needsUpdate(now))
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "app/node/batchstore.h"
+#include "app/node/callerguard.h"
 #include "app/node/callservice.h"
 #include "app/node/conductor.h"
 #include "app/node/membership.h"
@@ -86,6 +87,7 @@
     request::forward::Forwarder m_forwarder;
     Relay m_relay;
     CallService m_calls;
+    CallerGuard m_callerGuard;
     std::unique_ptr<connection::http::HttpServer> m_callerServer;
     std::unique_ptr<connection::http::HttpServer> m_directoryServer;
     std::unique_ptr<connection::http::HttpServer> m_readinessServer;
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -1,6 +1,9 @@
 #include "base/hash.h"
 
+#include <memory>
+
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
@@ -36,8 +39,18 @@
 
 auto sha256Hex(std::string_view text) -> std::string
 {
+    return sha256Hex({ text });
+}
+
+auto sha256Hex(std::initializer_list<std::string_view> parts) -> std::string
+{
+    const auto context =
+        std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const auto part : parts)
+        EVP_DigestUpdate(context.get(), part.data(), part.size());
     auto digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>();
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
     return toHex(digest);
 }
 
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <span>
 #include <string>
 #include <string_view>
@@ -13,6 +14,8 @@
 
 //! SHA-256 of \a text in lower-case hexadecimal.
 auto sha256Hex(std::string_view text) -> std::string;
+//! The same of all \a parts one after the other, without joining them in memory.
+auto sha256Hex(std::initializer_list<std::string_view> parts) -> std::string;
 
 //! Whether two texts are equal, in a time that depends on their length only.
 auto equalConstantTime(std::string_view left, std::string_view right) -> bool;
--- a/src/base/tests/hash_tests.cpp
+++ b/src/base/tests/hash_tests.cpp
@@ -10,6 +10,11 @@
     EXPECT_EQ(sha256Hex("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
+TEST(Hash, Hash_Sha256OfParts_IsThatOfTheJoinedText)
+{
+    EXPECT_EQ(sha256Hex({ "a", "", "bc" }), sha256Hex("abc"));
+}
+
 TEST(Hash, Hash_EqualConstantTime_ComparesContent)
 {
     EXPECT_TRUE(equalConstantTime("key", "key"));
--- a/src/connection/http/httpserver.h
+++ b/src/connection/http/httpserver.h
@@ -9,8 +9,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ssl/context.hpp>
 
+#include "base/enumtable.h"
 #include "base/timepoint.h"
 #include "connection/http/ihttpresponder.h"
+#include "process/memory/bodyintake.h"
 
 //! The HTTP server that every process of the product uses, over Boost.Beast.
 namespace nutmegplank::connection::http {
@@ -28,6 +30,35 @@
     base::Duration writeTime = std::chrono::seconds(30); //!< For each write of an answer.
 };
 
+//! Why a server let a caller go without having passed its request on.
+enum class TurnedAway {
+    TooLarge, //!< The body is over the limit.
+    NoRoom,   //!< No memory for the body became free in time.
+    Stalled,  //!< The body had stopped growing, and others needed its memory.
+    Idle,     //!< The connection was between two requests, and new ones needed its place.
+    SlowHead, //!< The same for one whose request's head was not complete.
+    NoPlace,  //!< All connections were in use.
+};
+
+inline constexpr auto TURNED_AWAY_NAMES = base::EnumTable<TurnedAway, 6> { {
+    { TurnedAway::TooLarge, "too_large" },
+    { TurnedAway::NoRoom, "no_room" },
+    { TurnedAway::Stalled, "stalled" },
+    { TurnedAway::Idle, "idle" },
+    { TurnedAway::SlowHead, "slow_head" },
+    { TurnedAway::NoPlace, "no_place" },
+} };
+
+//! Callers that nobody controls: what all of them together may hold, and who hears of it.
+struct CallerBounds
+{
+    std::shared_ptr<process::memory::BodyIntake> intake; //!< Null: bodies have no common bound.
+    //! Of the system's buffer for what a connection has received; 0 = the system's default.
+    int receiveBufferBytes = 0;
+    //! Runs on any thread.
+    std::function<void(TurnedAway)> onTurnedAway;
+};
+
 using HttpHandler = std::function<boost::asio::awaitable<void>(Request, IHttpResponder &)>;
 //! Gives the TLS context for a new connection, so that certificates can be read again.
 using TlsContextSource = std::function<std::shared_ptr<boost::asio::ssl::context>()>;
@@ -38,7 +69,7 @@
 {
 public:
     HttpServer(boost::asio::io_context &context, ServerLimits limits, HttpHandler handler,
-               TlsContextSource tls = {});
+               TlsContextSource tls = {}, CallerBounds bounds = {});
     ~HttpServer();
 
     //! Listens on \a address; port 0 picks a free one. Gives the bound port.
--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -61,7 +61,8 @@
     -> asio::awaitable<absl::Status>
 {
     m_reusable = false;
-    auto message = beast::http::request<beast::http::string_body>();
+    // Refers to the caller's body: a copy of a large one would not fit into a small machine.
+    auto message = beast::http::request<beast::http::span_body<const char>>();
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
@@ -69,7 +70,7 @@
         message.set(beast::http::field::host, m_peer);
     for (const auto &header : request.headers)
         message.insert(header.name, header.value);
-    message.body() = request.body;
+    message.body() = { request.body.data(), request.body.size() };
     message.prepare_payload();
     m_headRequest = request.method == "HEAD";
     if (onFirstByte)
--- a/src/connection/http/internal/httpserver.cpp
+++ b/src/connection/http/internal/httpserver.cpp
@@ -6,6 +6,7 @@
 
 #include "base/text.h"
 #include "connection/http/internal/httpsession.h"
+#include "process/clock/clock.h"
 
 namespace nutmegplank::connection::http {
 
@@ -92,8 +93,11 @@
 
     auto start(Tcp::socket socket) -> void
     {
-        if (host->connections >= host->limits.load()->connections)
+        if (host->connections >= host->limits.load()->connections
+            && !host->makePlace(process::clock::now())) {
+            host->note(TurnedAway::NoPlace);
             return;
+        }
         auto ignored = beast::error_code();
         socket.set_option(Tcp::no_delay(true), ignored);
         const auto executor = socket.get_executor();
@@ -110,9 +114,10 @@
 };
 
 HttpServer::HttpServer(asio::io_context &context, ServerLimits limits, HttpHandler handler,
-                       TlsContextSource tls)
+                       TlsContextSource tls, CallerBounds bounds)
     : m_state(std::make_shared<State>(context, std::move(tls)))
 {
+    m_state->host->bounds = std::move(bounds);
     setLimits(limits);
     m_state->host->handler = std::move(handler);
 }
@@ -132,6 +137,10 @@
         acceptor.open(endpoint.protocol(), error);
     if (!error)
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    // Accepted connections have the same size; later on it would not bound the window any more.
+    const auto receiveBuffer = m_state->host->bounds.receiveBufferBytes;
+    if (!error && receiveBuffer > 0)
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBuffer), error);
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
--- a/src/connection/http/internal/httpsession.h
+++ b/src/connection/http/internal/httpsession.h
@@ -8,9 +8,19 @@
 
 namespace nutmegplank::connection::http {
 
+//! What the server may ask of an open connection, from any thread.
+struct OpenConnection
+{
+    std::function<void()> wake;                //!< Ends its wait for a request.
+    std::function<void()> letGo;               //!< Ends it if its request's head is not complete.
+    std::atomic<std::int64_t> idleSince { 0 }; //!< Microseconds of the boot clock; 0 if not idle.
+    std::atomic<std::int64_t> headSince { 0 }; //!< The same while a head is being read.
+};
+
 //! Shared by the server and its sessions.
 struct SessionHost
 {
+    CallerBounds bounds;
     std::atomic<std::shared_ptr<const ServerLimits>> limits;
     HttpHandler handler;
     std::atomic<bool> closing { false }; //!< Answers say "Connection: close".
@@ -22,12 +32,22 @@
     auto wakeIdle() -> void
     {
         const auto lock = std::lock_guard(mutex);
-        for (const auto &[session, wake] : wakers)
-            wake();
+        for (const auto &[session, connection] : open)
+            connection.wake();
+    }
+
+    //! Ends the connection that has been idle longest, or else the one that has been at its
+    //! request's head longest. False if all others are at work.
+    auto makePlace(base::TimePoint now) -> bool;
+
+    auto note(TurnedAway reason) const -> void
+    {
+        if (bounds.onTurnedAway)
+            bounds.onTurnedAway(reason);
     }
 
     std::mutex mutex;
-    std::unordered_map<const void *, std::function<void()>> wakers; //!< By session.
+    std::unordered_map<const void *, OpenConnection> open; //!< By session.
 };
 
 //! One connection of a caller over \a Stream (plain TCP or TLS).
@@ -46,7 +66,7 @@
     {
         --m_host->connections;
         const auto lock = std::lock_guard(m_host->mutex);
-        m_host->wakers.erase(this);
+        m_host->open.erase(this);
     }
     HttpSession(const HttpSession &) = delete;
     auto operator=(const HttpSession &) -> HttpSession & = delete;
@@ -66,7 +86,14 @@
 
     auto handle(Request request) -> boost::asio::awaitable<void>;
     auto readRequest() -> boost::asio::awaitable<std::optional<Request>>;
+    //! Reads the body; nullopt on success, or why the caller was turned away or left.
+    auto readBody(Parser &parser, const ServerLimits &limits)
+        -> boost::asio::awaitable<std::optional<boost::beast::error_code>>;
+    auto waitForRoom(std::uint64_t bytes) -> boost::asio::awaitable<bool>;
     auto refuse(boost::beast::error_code error) -> boost::asio::awaitable<void>;
+    auto refuseForRoom() -> boost::asio::awaitable<void>;
+    //! Reads what a refused caller still sends, so that it sees the answer.
+    auto dropRest() -> boost::asio::awaitable<void>;
     auto waitForFirstByte() -> boost::asio::awaitable<bool>;
     //! Whether the caller has sent bytes that have not been read yet.
     auto hasUnreadBytes() -> bool;
@@ -87,6 +114,12 @@
     bool m_finished = false;
     bool m_hasBody = true;
     bool m_idle = false;
+    bool m_readingHead = false;
+    bool m_readingBody = false;
+    bool m_stalled = false;   //!< Others need the memory of the body that is being read.
+    bool m_dropsRest = false; //!< The caller may still send the body of a refused request.
+    process::memory::BodyPlace m_place;
+    OpenConnection *m_open = nullptr;
     std::function<void()> m_onGone;
     boost::asio::cancellation_signal m_stopWatch;
 };
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -269,7 +269,7 @@
     m_dependencies.onAttemptRun(call.workspace);
 }
 
-auto Forwarder::attempt(const ForwardCall &call, const Server &server, base::TimePoint until,
+auto Forwarder::attempt(ForwardCall &call, const Server &server, base::TimePoint until,
                         ForwardHandle &handle, IAnswerSink &sink) -> asio::awaitable<Attempt>
 {
     const auto &id = server.record.id;
@@ -286,11 +286,15 @@
     } else if (!handle.cancelled()) {
         handle.attach(*connection);
         m_attempts.add();
+        // The body is lent to the attempt, as a copy of a large one may not fit into memory.
+        auto body = std::exchange(call.request.body, {});
         auto request = call.request;
+        request.body = std::move(body);
         auto envelope = serverprotocol::Envelope { id, call.workspace };
         envelope.timeLeft = call.deadline - m_dependencies.now();
         m_dependencies.protocol.addEnvelope(request, envelope);
-        result = co_await exchange(call, id, **connection, std::move(request), until, sink);
+        result = co_await exchange(call, id, **connection, request, until, sink);
+        call.request.body = std::move(request.body);
         handle.detach();
         // A second copy of a refusal must not be taken for the answer to a request that runs once.
         const auto isUsable = (result.end == AttemptOutcome::NotRun && isRetryable(call.route))
@@ -308,7 +312,7 @@
 }
 
 auto Forwarder::exchange(const ForwardCall &call, const std::string &serverId,
-                         http::IHttpConnection &connection, http::Request request,
+                         http::IHttpConnection &connection, const http::Request &request,
                          base::TimePoint until, IAnswerSink &sink) -> asio::awaitable<Attempt>
 {
     const auto sentAt = m_dependencies.now();
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -107,12 +107,13 @@
         -> std::optional<process::servers::Server>;
     //! Time until a server of \a call has allowance, if only request limits hold it back; else 0.
     auto waitForAllowance(const ForwardCall &call) -> base::Duration;
-    auto attempt(const ForwardCall &call, const process::servers::Server &server,
-                 base::TimePoint until, ForwardHandle &handle, IAnswerSink &sink)
-        -> boost::asio::awaitable<Attempt>;
+    //! Lends the body of \a call to the connection and puts it back.
+    auto attempt(ForwardCall &call, const process::servers::Server &server, base::TimePoint until,
+                 ForwardHandle &handle, IAnswerSink &sink) -> boost::asio::awaitable<Attempt>;
     auto exchange(const ForwardCall &call, const std::string &serverId,
-                  connection::http::IHttpConnection &connection, connection::http::Request request,
-                  base::TimePoint until, IAnswerSink &sink) -> boost::asio::awaitable<Attempt>;
+                  connection::http::IHttpConnection &connection,
+                  const connection::http::Request &request, base::TimePoint until,
+                  IAnswerSink &sink) -> boost::asio::awaitable<Attempt>;
     auto readAnswer(const ForwardCall &call, connection::http::IHttpConnection &connection,
                     connection::http::Response head, base::TimePoint until, IAnswerSink &sink)
         -> boost::asio::awaitable<Attempt>;
--- a/src/request/forward/poisonrequestdetector.cpp
+++ b/src/request/forward/poisonrequestdetector.cpp
@@ -18,7 +18,7 @@
 auto PoisonRequestDetector::fingerprintOf(std::string_view workspace, std::string_view path,
                                           std::string_view body) -> std::string
 {
-    return base::sha256Hex(base::concat(workspace, "\n", path, "\n", body)).substr(0, 32);
+    return base::sha256Hex({ workspace, "\n", path, "\n", body }).substr(0, 32);
 }
 
 auto PoisonRequestDetector::isPoison(const std::string &fingerprint, base::TimePoint now) const
