--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -63,7 +63,7 @@
     -> asio::awaitable<absl::Status>
 {
     m_reusable = false;
-    // The body is not copied: it may be large, and its sending may take long.
+    // Refers to the caller's body: a copy of a large one would not fit into a small machine.
     auto message = beast::http::request<beast::http::span_body<const char>>();
     message.version(11);
     message.method_string(request.method);
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -419,8 +419,8 @@
     } else if (!handle.cancelled()) {
         handle.attach(*connection);
         m_attempts.add();
-        // The body may be large: it is lent to the copy that gets an envelope.
-        auto body = std::exchange(call.request.body, std::string());
+        // The body is lent to the attempt, as a copy of a large one may not fit into memory.
+        auto body = std::exchange(call.request.body, {});
         auto request = call.request;
         request.body = std::move(body);
         auto envelope = serverprotocol::Envelope { id, call.workspace };
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -134,6 +134,7 @@
         -> std::optional<process::servers::Server>;
     //! Time until a server of \a call has allowance, if only request limits hold it back; else 0.
     auto waitForAllowance(const ForwardCall &call) -> base::Duration;
+    //! Lends the body of \a call to the connection and puts it back.
     auto attempt(ForwardCall &call, const process::servers::Server &server, base::TimePoint until,
                  ForwardHandle &handle, IAnswerSink &sink) -> boost::asio::awaitable<Attempt>;
     auto exchange(const ForwardCall &call, const std::string &serverId,
--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -114,6 +114,7 @@
     answer_bytes: int | None = None  #: Its answers are so large,
     answer_chunked = False  #: and tell no length before;
     break_after: int | None = None  #: so many bytes of them are sent.
+    echoes = True  #: Its answers hold the request's body.
 
     async def serve(self, request: Request) -> Answer:
         self.requests.append({"id": request.headers.get("x-request-id"), "headers": request.headers,
@@ -130,7 +131,8 @@
         if self.answer_bytes is not None:
             return Answer(200, self.stamp(request), chunks=self.large_answer(),
                           length=None if self.answer_chunked else self.answer_bytes)
-        return Answer(200, self.stamp(request), b"done:" + request.body, late_copy=self.late_copy)
+        return Answer(200, self.stamp(request), b"done:" + (request.body if self.echoes else b""),
+                      late_copy=self.late_copy)
 
     async def large_answer(self):
         wanted = self.answer_bytes if self.break_after is None else self.break_after
