Store progress of items also while results never end

Cause: progress was written only when no result waited.

Change: progress that results have held up for 0.3 s gets an append of its own.

Test: a result every 30 ms for 2 s; progress never came before.

--- a/src/app/node/resultwriter.cpp
+++ b/src/app/node/resultwriter.cpp
@@ -220,7 +220,7 @@
     while (m_fence == fence) {
         timer.expires_after(GATHER);
         co_await timer.async_wait(USE_TUPLE);
-        auto groups = m_queue.take(m_journal.limits());
+        auto groups = m_queue.take(m_journal.limits(), process::clock::now());
         if (groups.empty())
             break;
         auto stored = co_await storeTexts(fence, std::move(groups));
--- a/src/version/batch/internal/resultqueue.cpp
+++ b/src/version/batch/internal/resultqueue.cpp
@@ -12,6 +12,8 @@
 //! Records and calls are kept below these, which keeps their writing and reading short.
 constexpr auto RECORD_TARGET_BYTES = std::size_t(150'000);
 constexpr auto CALL_TARGET_BYTES = std::size_t(1'200'000);
+//! Texts are stored each 0.8 s; a lost holder should not cost much more of them.
+constexpr auto MAX_PROGRESS_WAIT = std::chrono::milliseconds(300);
 
 //! Whether an entry of \a bytes goes into a record that has \a used; a first one always does.
 auto fitsRecord(const ResultGroup &group, std::size_t used, std::size_t bytes,
@@ -67,9 +69,22 @@
     items[item] = { std::move(progress), discarded };
 }
 
-auto ResultQueue::take(const journal::AppendLimits &limits) -> std::vector<ResultGroup>
+auto ResultQueue::isProgressDue(base::TimePoint now) -> bool
 {
-    return m_results.empty() ? takeProgress(limits) : takeResults(limits);
+    if (m_progress.empty())
+        return false;
+    if (!m_progressHeldSince.has_value())
+        m_progressHeldSince = now;
+    return m_results.empty() || now - *m_progressHeldSince >= MAX_PROGRESS_WAIT;
+}
+
+auto ResultQueue::take(const journal::AppendLimits &limits, base::TimePoint now)
+    -> std::vector<ResultGroup>
+{
+    if (!isProgressDue(now))
+        return takeResults(limits);
+    m_progressHeldSince.reset();
+    return takeProgress(limits);
 }
 
 auto ResultQueue::takeResults(const journal::AppendLimits &limits) -> std::vector<ResultGroup>
@@ -130,6 +145,7 @@
 {
     m_results.clear();
     m_progress.clear();
+    m_progressHeldSince.reset();
     m_bytes = 0;
 }
 
--- a/src/version/batch/tests/resultqueue_tests.cpp
+++ b/src/version/batch/tests/resultqueue_tests.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
+const auto START = nutmegplank::base::TimePoint(1h);
+
 auto result(std::uint32_t item, std::size_t textBytes) -> Result
 {
     return { item, "item" + std::to_string(item), false, std::string(textBytes, 'x'), { 3 } };
@@ -33,7 +37,7 @@
     auto queue = ResultQueue();
     queue.add("b", result(0, 149'000));
     queue.add("b", result(1, 250'000));
-    const auto groups = queue.take(AppendLimits());
+    const auto groups = queue.take(AppendLimits(), START);
     ASSERT_EQ(groups.size(), 2U);
     for (const auto &group : groups)
         EXPECT_LE(encodedBytes(group), AppendLimits().recordBytes);
@@ -49,7 +53,7 @@
         queue.add("b", result(item, 0));
     auto taken = std::size_t(0);
     while (!queue.empty()) {
-        for (const auto &group : queue.take(AppendLimits())) {
+        for (const auto &group : queue.take(AppendLimits(), START)) {
             EXPECT_LE(encodedBytes(group), AppendLimits().recordBytes);
             taken += group.size();
         }
@@ -72,7 +76,7 @@
     auto taken = std::size_t(0);
     while (!queue.empty()) {
         auto callBytes = std::size_t(0);
-        for (const auto &group : queue.take(limits)) {
+        for (const auto &group : queue.take(limits, START)) {
             RC_ASSERT(group.size() > 0U);
             RC_ASSERT(encodedBytes(group) <= limits.recordBytes);
             taken += group.size();
@@ -90,7 +94,7 @@
     for (auto events = std::uint32_t(1); events <= 100; ++events)
         queue.addProgress("b", progress(7, events, 1000));
     EXPECT_LT(queue.bytes(), 2000U);
-    const auto groups = queue.take(AppendLimits());
+    const auto groups = queue.take(AppendLimits(), START);
     ASSERT_EQ(groups.size(), 1U);
     ASSERT_EQ(groups[0].progress.size(), 1U);
     EXPECT_EQ(groups[0].progress[0].events, 100U);
@@ -102,7 +106,7 @@
     queue.addProgress("b", progress(7, 30, 1000));
     queue.addProgress("b", progress(7, 0, 0));
     queue.addProgress("b", progress(7, 2, 10));
-    const auto groups = queue.take(AppendLimits());
+    const auto groups = queue.take(AppendLimits(), START);
     ASSERT_EQ(groups.size(), 1U);
     ASSERT_EQ(groups[0].progress.size(), 2U);
     EXPECT_EQ(groups[0].progress[0].events, 0U);
@@ -119,3 +123,25 @@
     EXPECT_EQ(second.results[1].item, 2U);
     EXPECT_EQ(second.batch, "b");
 }
+
+//! With a result every few milliseconds, progress never had its turn, and the items that ran when a
+//! lease holder was lost began anew.
+TEST(ResultQueue, ResultQueue_ResultsThatNeverEnd_HoldProgressUpForABoundedTime)
+{
+    auto queue = ResultQueue();
+    queue.addProgress("b", progress(0, 20, 8000));
+    auto stored = std::optional<std::chrono::milliseconds>();
+    auto listed = std::size_t(0);
+    for (auto time = 0ms; time < 2s; time += 30ms) {
+        queue.add("a", result(static_cast<std::uint32_t>(time.count()), 2000));
+        for (const auto &group : queue.take(AppendLimits(), START + time)) {
+            listed += group.results.size();
+            if (!group.progress.empty() && !stored.has_value())
+                stored = time;
+        }
+    }
+    ASSERT_TRUE(stored.has_value());
+    EXPECT_GE(*stored, 200ms);
+    EXPECT_LE(*stored, 400ms);
+    EXPECT_EQ(listed, 67U);
+}
