Forget the speeds of engines that are gone

Speeds were kept for each engine that ever ran an item, so that memory grew with replacements and engines long gone counted in the question whether the others differ in speed.

--- a/src/request/rollout/enginespeeds.cpp
+++ b/src/request/rollout/enginespeeds.cpp
@@ -14,6 +14,8 @@
 constexpr auto MIN_SAMPLES = 3U;
 //! After this time without events the usual speed counts again.
 constexpr auto RECENT_LIFETIME = base::Duration(std::chrono::seconds(2));
+//! Engines that were replaced do not come back under their id.
+constexpr auto KNOWLEDGE_LIFETIME = base::Duration(std::chrono::minutes(5));
 constexpr auto WINDOW = base::Duration(std::chrono::seconds(1));
 constexpr auto MIN_WINDOW_SAMPLES = 4U;
 constexpr auto MAX_WINDOWS = std::size_t(30);
@@ -65,8 +67,11 @@
     return now - state.recentAt > RECENT_LIFETIME ? usualSeconds(state) : state.recentSeconds;
 }
 
-auto EngineSpeeds::update() -> void
+auto EngineSpeeds::update(base::TimePoint now) -> void
 {
+    std::erase_if(m_engines, [now](const auto &entry) {
+        return now - entry.second.recentAt > KNOWLEDGE_LIFETIME;
+    });
     auto usual = std::vector<double>();
     for (const auto &[engine, state] : m_engines) {
         if (state.samples >= MIN_SAMPLES)
--- a/src/request/rollout/enginespeeds.h
+++ b/src/request/rollout/enginespeeds.h
@@ -20,8 +20,9 @@
     //! Expected time per event at \a engine; that of the middle engine if it is not known, and 0 if
     //! no engine is.
     auto eventSeconds(const std::string &engine, base::TimePoint now) const -> double;
-    //! Recomputes what is known of all engines together: the middle engine and hasKinds().
-    auto update() -> void;
+    //! Recomputes what is known of all engines together: the middle engine and hasKinds(). Forgets
+    //! engines of which nothing was heard for long.
+    auto update(base::TimePoint now) -> void;
     //! Whether the engines are of different kinds: a large part of them is usually slower than
     //! another large part.
     auto hasKinds() const -> bool { return m_hasKinds; }
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -118,7 +118,7 @@
     for (auto &[id, batch] : m_batches.all())
         resolveRoutes(batch, table);
     m_dependencies.engines.updateMedian();
-    m_dependencies.engines.speeds().update();
+    m_dependencies.engines.speeds().update(m_dependencies.now());
     abandonExpiredItems();
     m_supervisor.endFailedRuns(m_dependencies.now());
     discardLargeTexts();
--- a/src/request/rollout/tests/enginespeeds_tests.cpp
+++ b/src/request/rollout/tests/enginespeeds_tests.cpp
@@ -63,7 +63,7 @@
     auto now = START;
     for (const auto *engine : { "a", "b", "c" })
         feed(speeds, engine, 64ms, 2, now, 2s);
-    speeds.update();
+    speeds.update(now);
     EXPECT_NEAR(speeds.eventSeconds("e", now), 0.064, 0.001);
 }
 
@@ -78,7 +78,7 @@
         if (engine < 8)
             feed(speeds, id, 150ms, 4, now, 8s);
     }
-    speeds.update();
+    speeds.update(now);
     EXPECT_FALSE(speeds.hasKinds());
 }
 
@@ -90,6 +90,27 @@
         now = START;
         feed(speeds, std::to_string(engine), engine < 32 ? 47ms : 61ms, 4, now, 3s);
     }
-    speeds.update();
+    speeds.update(now);
     EXPECT_TRUE(speeds.hasKinds());
 }
+
+TEST(EngineSpeeds, EngineSpeeds_ReplacedEngines_AreForgotten)
+{
+    auto speeds = EngineSpeeds();
+    auto now = START;
+    for (auto engine = 0; engine < 10; ++engine) {
+        now = START;
+        feed(speeds, "old" + std::to_string(engine), engine < 5 ? 27ms : 64ms, 4, now, 3s);
+    }
+    speeds.update(now);
+    EXPECT_TRUE(speeds.hasKinds());
+    now += 6min;
+    const auto later = now;
+    for (auto engine = 0; engine < 10; ++engine) {
+        now = later;
+        feed(speeds, "new" + std::to_string(engine), 40ms, 4, now, 3s);
+    }
+    speeds.update(now);
+    EXPECT_FALSE(speeds.hasKinds());
+    EXPECT_NEAR(speeds.eventSeconds("old0", now), 0.040, 0.001);
+}
