Count progress that waits apart from results

Cause: since texts have a bound, results that the log has not taken hold back new runs. The count included copies of unfinished texts that wait to be stored.

Change: only results are counted; a checkpoint waits until the former one has been taken; beside waiting results, one append takes 0.6 MB of progress at most.

Test: ResultQueue_WaitingProgress_IsCountedApartFromResults.

--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -393,6 +393,9 @@
         co_await pauseFor(CHECKPOINT_EVERY);
         if (m_activeFence == 0 || m_leaving || !m_parts.batches.reachable())
             continue;
+        // Copies of texts must not pile up faster than the log takes them.
+        if (m_results.hasWaitingProgress())
+            continue;
         for (auto &[batch, items] : m_executor.collectProgress(CHECKPOINT_EVENTS))
             m_results.addProgress(batch, std::move(items));
     }
--- a/src/app/node/resultwriter.h
+++ b/src/app/node/resultwriter.h
@@ -37,8 +37,10 @@
     auto add(const std::string &batch, version::batch::Result result) -> void;
     //! Keeps what unfinished items of \a batch have so far.
     auto addProgress(const std::string &batch, std::vector<version::batch::Progress> items) -> void;
-    //! Of results and progress that wait.
-    auto waitingBytes() const -> std::size_t { return m_queue.bytes(); }
+    //! Of results that wait.
+    auto waitingBytes() const -> std::size_t { return m_queue.resultBytes(); }
+    //! Whether progress that was added has not been taken by a write yet.
+    auto hasWaitingProgress() const -> bool { return m_queue.hasProgress(); }
     //! Returns once everything is written, or at \a until.
     auto drain(base::TimePoint until) -> boost::asio::awaitable<void>;
 
--- a/src/version/batch/internal/resultqueue.cpp
+++ b/src/version/batch/internal/resultqueue.cpp
@@ -12,6 +12,8 @@
 //! Records and calls are kept below these, which keeps their writing and reading short.
 constexpr auto RECORD_TARGET_BYTES = std::size_t(150'000);
 constexpr auto CALL_TARGET_BYTES = std::size_t(1'200'000);
+//! Of progress that goes before results, which wait meanwhile.
+constexpr auto SHARED_TARGET_BYTES = std::size_t(600'000);
 //! Texts are stored each 0.8 s; a lost holder should not cost much more of them.
 constexpr auto MAX_PROGRESS_WAIT = std::chrono::milliseconds(300);
 
@@ -51,7 +53,7 @@
 
 auto ResultQueue::add(const std::string &batch, Result result) -> void
 {
-    m_bytes += storedBytes(result);
+    m_resultBytes += storedBytes(result);
     m_results[batch].push_back(std::move(result));
 }
 
@@ -61,10 +63,10 @@
     const auto found = items.find(progress.item);
     auto discarded = progress.events == 0;
     if (found != items.end()) {
-        m_bytes -= storedBytes(found->second.newest);
+        m_progressBytes -= storedBytes(found->second.newest);
         discarded = discarded || found->second.discarded;
     }
-    m_bytes += storedBytes(progress);
+    m_progressBytes += storedBytes(progress);
     const auto item = progress.item;
     items[item] = { std::move(progress), discarded };
 }
@@ -84,7 +86,8 @@
     if (!isProgressDue(now))
         return takeResults(limits);
     m_progressHeldSince.reset();
-    return takeProgress(limits);
+    const auto target = callTarget(limits);
+    return takeProgress(limits, m_results.empty() ? target : std::min(target, SHARED_TARGET_BYTES));
 }
 
 auto ResultQueue::takeResults(const journal::AppendLimits &limits) -> std::vector<ResultGroup>
@@ -98,7 +101,7 @@
         while (!results.empty() && fitsRecord(group, used, storedBytes(results.front()), limits)) {
             const auto bytes = storedBytes(results.front());
             used += bytes;
-            m_bytes -= bytes;
+            m_resultBytes -= bytes;
             group.results.push_back(std::move(results.front()));
             results.pop_front();
         }
@@ -110,11 +113,12 @@
     return groups;
 }
 
-auto ResultQueue::takeProgress(const journal::AppendLimits &limits) -> std::vector<ResultGroup>
+auto ResultQueue::takeProgress(const journal::AppendLimits &limits, std::size_t target)
+    -> std::vector<ResultGroup>
 {
     auto groups = std::vector<ResultGroup>();
     auto callBytes = std::size_t(0);
-    while (!m_progress.empty() && callBytes < callTarget(limits)) {
+    while (!m_progress.empty() && callBytes < target) {
         auto &[batch, items] = *m_progress.begin();
         auto group = ResultGroup { batch, {}, {} };
         auto used = storedBytes(batch);
@@ -127,7 +131,7 @@
             if (!fitsRecord(group, used, all, limits))
                 break;
             used += all;
-            m_bytes -= bytes;
+            m_progressBytes -= bytes;
             if (waiting.discarded && waiting.newest.events > 0)
                 group.progress.push_back(mark);
             group.progress.push_back(std::move(waiting.newest));
@@ -146,7 +150,8 @@
     m_results.clear();
     m_progress.clear();
     m_progressHeldSince.reset();
-    m_bytes = 0;
+    m_resultBytes = 0;
+    m_progressBytes = 0;
 }
 
 } // namespace nutmegplank::version::batch
--- a/src/version/batch/resultqueue.h
+++ b/src/version/batch/resultqueue.h
@@ -41,7 +41,9 @@
     auto take(const journal::AppendLimits &limits, base::TimePoint now) -> std::vector<ResultGroup>;
     auto clear() -> void;
     auto empty() const -> bool { return m_results.empty() && m_progress.empty(); }
-    auto bytes() const -> std::size_t { return m_bytes; }
+    auto bytes() const -> std::size_t { return m_resultBytes + m_progressBytes; }
+    auto resultBytes() const -> std::size_t { return m_resultBytes; }
+    auto hasProgress() const -> bool { return !m_progress.empty(); }
 
 private:
     struct WaitingProgress
@@ -53,12 +55,14 @@
     //! Whether progress goes before the results that wait.
     auto isProgressDue(base::TimePoint now) -> bool;
     auto takeResults(const journal::AppendLimits &limits) -> std::vector<ResultGroup>;
-    auto takeProgress(const journal::AppendLimits &limits) -> std::vector<ResultGroup>;
+    auto takeProgress(const journal::AppendLimits &limits, std::size_t target)
+        -> std::vector<ResultGroup>;
 
     std::map<std::string, std::deque<Result>> m_results;                        //!< By batch.
     std::map<std::string, std::map<std::uint32_t, WaitingProgress>> m_progress; //!< By batch.
     std::optional<base::TimePoint> m_progressHeldSince;                         //!< Behind results.
-    std::size_t m_bytes = 0;
+    std::size_t m_resultBytes = 0;
+    std::size_t m_progressBytes = 0;
 };
 
 } // namespace nutmegplank::version::batch
--- a/src/version/batch/tests/resultqueue_tests.cpp
+++ b/src/version/batch/tests/resultqueue_tests.cpp
@@ -145,3 +145,26 @@
     EXPECT_LE(*stored, 400ms);
     EXPECT_EQ(listed, 67U);
 }
+
+//! Progress that waited used to count like results, and a large deployment started no more items.
+TEST(ResultQueue, ResultQueue_WaitingProgress_IsCountedApartFromResults)
+{
+    auto queue = ResultQueue();
+    for (auto item = std::uint32_t(0); item < 100; ++item)
+        queue.addProgress("b", progress(item, 20, 8000));
+    EXPECT_TRUE(queue.hasProgress());
+    EXPECT_EQ(queue.resultBytes(), 0U);
+    EXPECT_GT(queue.bytes(), 800'000U);
+    queue.add("a", result(0, 2000));
+    EXPECT_GT(queue.resultBytes(), 2000U);
+    queue.take(AppendLimits(), START);
+    EXPECT_EQ(queue.resultBytes(), 0U);
+    queue.add("a", result(1, 2000));
+    // Beside results, one append takes a part of the progress only.
+    for (const auto &group : queue.take(AppendLimits(), START + 1s))
+        EXPECT_TRUE(group.results.empty());
+    EXPECT_TRUE(queue.hasProgress());
+    while (!queue.empty())
+        queue.take(AppendLimits(), START + 2s);
+    EXPECT_EQ(queue.bytes(), 0U);
+}
