Count ends of a server that is back without a record

Cause: while the store is away, a server that came back kept its former incarnation here, so that its further ends counted as one. With two servers no machine ever refused a request that ended them.

Change: an end counts again from 1 s after the last one of the process. Machines number the ends that they saw, so that one seen by several machines still counts once.

--- a/src/request/forward/poisonrequestdetector.cpp
+++ b/src/request/forward/poisonrequestdetector.cpp
@@ -21,9 +21,13 @@
 constexpr auto ANSWER_SLOTS = std::size_t(2048);
 constexpr auto MAX_OPEN_LOSSES = std::size_t(256);
 
-auto processOf(const std::string &server, std::int64_t incarnation) -> std::uint64_t
+//! Breaks at one process within this are of the same end; a server takes longer to come back.
+constexpr auto SAME_END = std::chrono::seconds(1);
+
+auto processOf(const std::string &server, std::int64_t incarnation, std::uint32_t earlierEnds)
+    -> std::uint64_t
 {
-    return base::hash64(base::concat(server, "#", incarnation));
+    return base::hash64(base::concat(server, "#", incarnation, "#", earlierEnds));
 }
 
 } // namespace
@@ -98,10 +102,18 @@
     auto &entry = m_entries[loss.fingerprint];
     if (entry.answeredAt.has_value() && loss.at <= *entry.answeredAt)
         return;
-    auto &crash = entry.crashes[processOf(loss.server, loss.incarnation)];
-    if (crash.seenHere)
-        return;
-    crash = { loss.at, true };
+    // A server that is back while the store is away still has its former incarnation here. Ends
+    // that several machines saw are counted by the machine that saw most of them.
+    auto earlierEnds = std::uint32_t(0);
+    auto process = processOf(loss.server, loss.incarnation, earlierEnds);
+    auto known = entry.crashes.find(process);
+    while (known != entry.crashes.end() && known->second.seenHere) {
+        if (loss.at < known->second.at + SAME_END)
+            return;
+        process = processOf(loss.server, loss.incarnation, ++earlierEnds);
+        known = entry.crashes.find(process);
+    }
+    entry.crashes[process] = { loss.at, true };
     process::logging::warning("request.crash_suspected",
                               { { "fingerprint", loss.fingerprint },
                                 { "server", loss.server },
--- a/src/request/forward/poisonrequestdetector.h
+++ b/src/request/forward/poisonrequestdetector.h
@@ -15,7 +15,8 @@
 //! The end of a backend server's process while it ran a request.
 struct ProcessEnd
 {
-    std::uint64_t process = 0; //!< Hash of the server's id and incarnation.
+    //! Hash of the server's id, its incarnation and how many ends of it the machine saw before.
+    std::uint64_t process = 0;
     base::TimePoint at {};
 };
 
--- a/src/request/forward/tests/poisonrequestdetector_tests.cpp
+++ b/src/request/forward/tests/poisonrequestdetector_tests.cpp
@@ -136,6 +136,24 @@
     EXPECT_TRUE(here.isPoison(REQUEST, NOW));
 }
 
+//! The store is away, so that no other incarnation is known.
+TEST(PoisonRequestDetector, PoisonRequestDetector_ServerThatIsBackWithoutARecord_CountsAgain)
+{
+    auto here = PoisonRequestDetector();
+    auto there = PoisonRequestDetector();
+    for (auto *machine : { &here, &there }) {
+        crash(*machine, "a", NOW);
+        crash(*machine, "a", NOW + 500ms);
+        crash(*machine, "a", NOW + 5s);
+    }
+    tell(there, here, NOW + 5s);
+    EXPECT_FALSE(here.isPoison(REQUEST, NOW + 5s));
+    crash(there, "a", NOW + 10s);
+    EXPECT_TRUE(there.isPoison(REQUEST, NOW + 10s));
+    tell(there, here, NOW + 10s);
+    EXPECT_TRUE(here.isPoison(REQUEST, NOW + 10s));
+}
+
 TEST(PoisonRequestDetector, PoisonRequestDetector_RequestThatIsOtherwiseAnswered_IsNeverMarked)
 {
     auto here = PoisonRequestDetector();
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -317,6 +317,35 @@
         self.assertEqual(self.world.nodes[2].call("POST", "/orders/1", b"killer")[0], 503)
         self.assertEqual(ran(), before)
 
+    def test_request_that_crashes_servers_is_refused_while_the_store_is_away(self):
+        """Each machine learns from its own crashes; an attempt under way may add one."""
+        for server in self.world.plains:
+            server.die_on = b"killer"
+        self.world.store.mode = "silent"
+
+        def ran():
+            return sum(len(server.requests) for server in self.world.plains)
+        refusing, until, number = set(), time.monotonic() + 40, 0
+        while len(refusing) < len(self.world.nodes) and time.monotonic() < until:
+            for node in self.world.nodes:
+                number += 1
+                status, body, _ = node.call("POST", "/orders/1", b"killer", headers={"X-Request-Id": f"r{number}"})
+                if status == 503 and b"condemned" in body:
+                    refusing.add(node.name)
+            time.sleep(0.3)
+        print("runs of the request without the store:", ran())
+        self.assertEqual(len(refusing), len(self.world.nodes))
+        self.assertLessEqual(ran(), 4 * len(self.world.nodes))
+        self.world.store.mode = "up"
+        eventually(lambda: all(server.up for server in self.world.plains), 5, "the servers")
+        time.sleep(3)
+        before = ran()
+        for node in self.world.nodes:
+            self.assertEqual(node.call("POST", "/orders/1", b"killer")[0], 503)
+        self.assertEqual(ran(), before)
+        for node in self.world.nodes:
+            eventually(lambda: node.call("POST", "/orders/1", b"mats")[0] == 200, 5, "another request")
+
     def test_connections_that_break_keep_out_no_request(self):
         """The servers live on, so it is not the request that ends them."""
         for server in self.world.plains:
