Spread load evenly over few servers before many machines

Cause: each machine preferred a server by a hash of its name and left it by latencies that never aged; machines drifted together to servers that nobody had seen slow, and half of the requests opened connections elsewhere.

Change: where the servers of a service without engines have fewer slots than there are machines, machines are divided equally among servers as their homes; a request goes to the better one of the home and one drawn server, by own work under way and latencies that lose weight with age.

--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -128,6 +128,7 @@
                     m_heldAnswers, m_suspects, m_streamOrigins, m_settings.node, m_settings.zone,
                     [this] { return m_routing.load(); }, [] { return process::clock::now(); },
                     [this] { return m_membership.memberCount(process::clock::now()); },
+                    [this] { return m_membership.memberNames(process::clock::now()); },
                     [this](const std::string &workspace) { m_conductor.countRun(workspace); } })
     , m_relay([this] { return m_membership.peers(process::clock::now()); }, m_metrics)
     , m_calls({ m_runtime.context(), m_callProtocol, m_forwarder, m_batches, m_relay, m_heldAnswers,
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "base/text.h"
 #include "process/logging/logging.h"
 #include "request/forward/answerroom.h"
+#include "request/forward/evenload.h"
 #include "request/forward/servicechoice.h"
 #include "request/serverprotocol/headobservation.h"
 
@@ -42,6 +43,8 @@
 //! A whole answer of known length is passed on as it arrives from this size on. Until then it can
 //! be replaced by that of another attempt.
 constexpr auto PASS_ON_BYTES = std::size_t(256 * 1024);
+//! Machines come and go within seconds.
+constexpr auto HOME_UPDATE = std::chrono::seconds(1);
 constexpr auto FIRST_REDIRECTION = 300U;
 constexpr auto SERVER_ERROR = 500U;
 
@@ -70,6 +73,12 @@
 Forwarder::Forwarder(ForwarderDependencies dependencies)
     : m_dependencies(std::move(dependencies))
     , m_streamVersions(m_dependencies.servers, m_dependencies.health, m_dependencies.streamOrigins)
+    , m_homeChoices(m_dependencies.metrics.counter("nutmegplank_even_choices_total",
+                                                   "Choices of a server where load is evened.",
+                                                   { { "server", "home" } }))
+    , m_drawnChoices(m_dependencies.metrics.counter("nutmegplank_even_choices_total",
+                                                    "Choices of a server where load is evened.",
+                                                    { { "server", "drawn" } }))
     , m_attempts(m_dependencies.metrics.counter("nutmegplank_attempts_total",
                                                 "Requests sent to backend servers."))
     , m_attemptSeconds(m_dependencies.metrics.distribution("nutmegplank_attempt_seconds",
@@ -103,6 +112,38 @@
     return shortest.value_or(base::Duration(0));
 }
 
+auto Forwarder::spreadsEvenly(const std::string &service, bool isEngine,
+                              const std::vector<const Server *> &servers) -> bool
+{
+    auto slots = std::uint64_t(0);
+    for (const auto *server : servers)
+        slots += server->record.slots;
+    const auto machineCount = m_dependencies.memberCount();
+    const auto isEven = !isEngine && needsEvenLoad(slots, machineCount);
+    const auto changed =
+        isEven ? m_evenServices.insert(service).second : m_evenServices.erase(service) > 0;
+    if (changed)
+        logging::info("choice.even_load",
+                      { { "service", service },
+                        { "even", isEven },
+                        { "slots", slots },
+                        { "machines", machineCount } });
+    return isEven;
+}
+
+auto Forwarder::homeOf(const std::string &service, const std::vector<std::string> &servers,
+                       base::TimePoint now) -> std::string
+{
+    auto &home = m_homes[service];
+    if (home.servers == servers && now - home.computedAt < HOME_UPDATE)
+        return home.server;
+    auto server = homeServer(m_dependencies.node, m_dependencies.memberNames(), servers);
+    if (server != home.server)
+        logging::info("choice.home", { { "service", service }, { "server", server } });
+    home = Home { servers, std::move(server), now };
+    return home.server;
+}
+
 auto Forwarder::chooseServer(const ForwardCall &call, const Progress &progress)
     -> std::optional<Server>
 {
@@ -117,7 +158,10 @@
     auto serverIds = std::vector<std::string>();
     for (const auto *server : servers)
         serverIds.push_back(server->record.id);
-    const auto preferredServer = base::rendezvousOwner(m_dependencies.node, serverIds);
+    const auto isEngine = serviceSettings != nullptr && serviceSettings->engine.has_value();
+    const auto isEven = spreadsEvenly(service, isEngine, servers);
+    const auto preferredServer = isEven ? homeOf(service, serverIds, now)
+                                        : base::rendezvousOwner(m_dependencies.node, serverIds);
     auto candidates = std::vector<ServerCandidate>();
     for (const auto *server : servers) {
         const auto &id = server->record.id;
@@ -129,6 +173,8 @@
         candidate.startsLeft = m_dependencies.health.startsLeft(id, server->coldUntil, rule, now);
         const auto latency = m_latency.find(id);
         candidate.latency = latency == m_latency.end() ? base::Duration(0) : latency->second;
+        if (isEven)
+            candidate.latency = m_recentLatency[service].expected(id, now);
         candidate.sameZone = server->record.zone == m_dependencies.zone;
         candidate.preferred = id == preferredServer;
         candidate.tried = progress.tried.contains(id) || progress.unavailable.contains(id)
@@ -136,9 +182,12 @@
             || !m_requestBytes.fits(id, call.request.body.size(), machineCount);
         candidates.push_back(std::move(candidate));
     }
-    const auto pickedIndex = pickServer(candidates);
+    const auto draw = base::hash64(call.requestId, progress.sent);
+    const auto pickedIndex = isEven ? pickServerEvenly(candidates, draw) : pickServer(candidates);
     if (!pickedIndex.has_value())
         return std::nullopt;
+    if (isEven)
+        (candidates[*pickedIndex].preferred ? m_homeChoices : m_drawnChoices).add();
     return *servers[*pickedIndex];
 }
 
@@ -266,6 +315,7 @@
         // Of an answer that was passed on, the caller's reading took a part.
         if (attempt.streamed && !isStream(call.route))
             break;
+        m_recentLatency[server.record.service].note(id, latency, now);
         auto &smoothed = m_latency[id];
         smoothed =
             smoothed.count() == 0 ? latency : smoothed + (latency - smoothed) / LATENCY_SMOOTHING;
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -16,6 +16,7 @@
 #include "request/forward/forwardcall.h"
 #include "request/forward/forwardhandle.h"
 #include "request/forward/poisonrequestdetector.h"
+#include "request/forward/recentlatency.h"
 #include "request/forward/requestbytes.h"
 #include "request/forward/serverpicker.h"
 #include "request/forward/streamversions.h"
@@ -53,6 +54,8 @@
     std::function<version::routing::RoutingTablePtr()> routing;
     std::function<base::TimePoint()> now;
     std::function<std::size_t()> memberCount;
+    //! Names of the machines in service.
+    std::function<std::vector<std::string>()> memberNames;
     //! Called after each attempt that a server may have run for a request of \a workspace.
     std::function<void(const std::string &workspace)> onAttemptRun;
 };
@@ -110,6 +113,19 @@
         bool mayHaveRun = false;
     };
 
+    //! The home of this machine among the servers of a service, for services that need even load.
+    struct Home
+    {
+        std::vector<std::string> servers;
+        std::string server;
+        base::TimePoint computedAt {};
+    };
+
+    //! Whether the load of \a service is to be spread by homes and draws.
+    auto spreadsEvenly(const std::string &service, bool isEngine,
+                       const std::vector<const process::servers::Server *> &servers) -> bool;
+    auto homeOf(const std::string &service, const std::vector<std::string> &servers,
+                base::TimePoint now) -> std::string;
     auto chooseServer(const ForwardCall &call, const Progress &progress)
         -> std::optional<process::servers::Server>;
     //! Time until a server of \a call has allowance, if only request limits hold it back; else 0.
@@ -134,6 +150,12 @@
     RequestBytes m_requestBytes;
     std::unordered_map<std::string, std::uint32_t> m_outstanding; //!< By server id.
     std::unordered_map<std::string, base::Duration> m_latency;    //!< By server id, smoothed.
+    //! By service; only of answers that were not passed on.
+    std::unordered_map<std::string, RecentLatency> m_recentLatency;
+    std::unordered_map<std::string, Home> m_homes; //!< By service.
+    std::set<std::string> m_evenServices;          //!< Whose load is spread by homes and draws.
+    process::metrics::Counter &m_homeChoices;
+    process::metrics::Counter &m_drawnChoices;
     process::metrics::Counter &m_attempts;
     process::metrics::Distribution &m_attemptSeconds;
 };
--- a/src/request/forward/serverpicker.cpp
+++ b/src/request/forward/serverpicker.cpp
@@ -12,7 +12,9 @@
 constexpr auto NEW_CONNECTION_MS = 30.0;
 constexpr auto OTHER_ZONE_MS = 3.0;
 
-auto costOf(const ServerCandidate &candidate) -> double
+} // namespace
+
+auto expectedCost(const ServerCandidate &candidate) -> double
 {
     const auto latency = candidate.latency.count() > 0
         ? static_cast<double>(candidate.latency.count()) / 1000.0
@@ -25,7 +27,10 @@
     return cost;
 }
 
-} // namespace
+auto mayGetRequest(const ServerCandidate &candidate) -> bool
+{
+    return !candidate.tried && candidate.startsLeft > 0 && candidate.outstanding < candidate.limit;
+}
 
 auto pickServer(const std::vector<ServerCandidate> &candidates) -> std::optional<std::size_t>
 {
@@ -33,10 +38,9 @@
     auto bestCost = std::numeric_limits<double>::max();
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
         const auto &candidate = candidates[index];
-        if (candidate.tried || candidate.startsLeft == 0
-            || candidate.outstanding >= candidate.limit)
+        if (!mayGetRequest(candidate))
             continue;
-        const auto cost = costOf(candidate);
+        const auto cost = expectedCost(candidate);
         if (cost >= bestCost)
             continue;
         best = index;
--- a/src/request/forward/serverpicker.h
+++ b/src/request/forward/serverpicker.h
@@ -21,6 +21,11 @@
     bool tried = false;     //!< Must not be picked again for this request.
 };
 
+auto mayGetRequest(const ServerCandidate &candidate) -> bool;
+
+//! Milliseconds until the server's answer, with its part for a new connection.
+auto expectedCost(const ServerCandidate &candidate) -> double;
+
 //! Index of the server with the lowest expected cost, or nothing when no server may get the
 //! request. Suits a load in which many machines each send a few short requests per second to few
 //! servers: a machine normally uses one preferred server, so that few connections are needed and
--- a/tests/integration/test_slowreaders.py
+++ b/tests/integration/test_slowreaders.py
@@ -14,6 +14,8 @@
 #: Holding all of them would take more than the memory of the machine.
 UNREAD_ANSWERS, ANSWER_BYTES = 60, 4 * MEGABYTE - 64 * 1024
 SMALL_WINDOW = 4096
+#: Seconds without a byte; less than the 15 s after which an idle connection is closed.
+END_BOUND = 10
 LARGE_REQUESTS, REQUEST_BYTES = 12, 6 * MEGABYTE
 
 
@@ -32,7 +34,7 @@
         opened = socket.socket()
         self.addCleanup(opened.close)
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW)
-        opened.settimeout(20)
+        opened.settimeout(END_BOUND)
         opened.connect((self.node.ip, self.node.ports["front"]))
         opened.sendall(f"POST {path} HTTP/{version}\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
                        f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
