--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -118,7 +118,7 @@
             record.add(line)
             print(line)
         code = 1 if broken else 0
-    except Exception:  # The case could not run.
+    except BaseException:  # The case could not run, or its time is up.
         traceback.print_exc()
     record.write(pathlib.Path(folder).resolve().parent)
     sys.stdout.flush()
