--- a/review/common-2/memorylimit.py
+++ b/review/common-2/memorylimit.py
@@ -12,10 +12,10 @@
 
 
 def anonymous_mb(pid: int) -> float:
-    """What a process holds beside its program's files; the smallest figure that could count."""
+    """What a process holds beside its program's files, in units of 2^20 bytes; the smallest figure that could count."""
     try:
         with open(f"/proc/{pid}/status", encoding="ascii") as status:
-            return next(int(line.split()[1]) for line in status if line.startswith("RssAnon:")) * 1024 / 1e6
+            return next(int(line.split()[1]) for line in status if line.startswith("RssAnon:")) / 1024
     except (OSError, StopIteration):
         return 0.0
 
