--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -83,6 +83,15 @@
 
     MACHINE = Machine
 
+    def __init__(self, **parts) -> None:
+        self.nodes = []
+        try:
+            super().__init__(**parts)
+        except BaseException:
+            for node in self.nodes:
+                node.kill()
+            raise
+
     def before_start(self) -> None:
         self.nodes = [self.MACHINE(self, number) for number in range(len(self.nodes))]
 
