Answers whose status is none of HTTP are errors

Callers waited out their time, or got bytes that followed as the answer, when a server answered with status 000 to 099; 600 to 999 were passed on.

Cause: Beast takes any three digits for a status, and HttpConnection::readHead took every status under 200 for an interim response, so that it read the body of a "000" as the head of the final answer. Now a status outside 100 to 599 ends the exchange with an error, for all that reads answers, since all of it goes through readHead.

--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -18,8 +18,10 @@
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
 constexpr auto READ_BYTES = std::size_t(16 * 1024);
+constexpr auto FIRST_STATUS = 100U;
 //! Heads with a lower status are interim: the final one follows.
 constexpr auto FIRST_FINAL_STATUS = 200U;
+constexpr auto LAST_STATUS = 599U;
 constexpr auto STATUS_SWITCHING_PROTOCOLS = 101U;
 //! A peer in trouble may send interim heads without end.
 constexpr auto MAX_INTERIM_RESPONSES = 16;
@@ -37,6 +39,17 @@
     return std::chrono::seconds(seconds);
 }
 
+//! Why an answer with this head is unusable although the parser takes any three digits for a
+//! status; empty if it is not.
+auto problemOfHead(std::uint32_t status) -> std::string_view
+{
+    if (status < FIRST_STATUS || status > LAST_STATUS)
+        return "the status is none of HTTP";
+    if (status == STATUS_SWITCHING_PROTOCOLS)
+        return "the peer changed the protocol, which was not asked for";
+    return {};
+}
+
 } // namespace
 
 template <typename Stream>
@@ -100,8 +113,9 @@
         if (error)
             co_return errorAt("http.readHead", error);
         head.status = m_parser->get().result_int();
-        if (head.status == STATUS_SWITCHING_PROTOCOLS)
-            co_return unusableHead("the peer changed the protocol, which was not asked for");
+        const auto problem = problemOfHead(head.status);
+        if (!problem.empty())
+            co_return unusableHead(problem);
     }
     const auto field = m_parser->get()[beast::http::field::keep_alive];
     m_keepAlive = keepAliveOf({ field.data(), field.size() });
--- a/src/connection/http/tests/interimresponses_tests.cpp
+++ b/src/connection/http/tests/interimresponses_tests.cpp
@@ -1,40 +1,13 @@
-#include <thread>
-
-#include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
-#include "connection/http/httpclient.h"
+#include "connection/http/tests/answerof.h"
 
-using namespace nutmegplank;
-using namespace nutmegplank::connection::http;
-namespace asio = boost::asio;
+using nutmegplank::connection::http::tests::answerOf;
 
 namespace {
 
-constexpr auto PATIENCE = std::chrono::seconds(5);
 constexpr auto FINAL = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy";
 
-//! What a client makes of \a bytes as the answer to its request.
-auto answerOf(const std::string &bytes) -> absl::StatusOr<Response>
-{
-    auto context = asio::io_context();
-    auto acceptor = asio::ip::tcp::acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    auto server = std::thread([&acceptor, &bytes] {
-        auto socket = acceptor.accept();
-        auto request = std::string();
-        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
-        auto ignored = boost::system::error_code();
-        asio::write(socket, asio::buffer(bytes), ignored);
-        socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        asio::read(socket, asio::dynamic_buffer(request), ignored);
-    });
-    const auto endpoint = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-    auto answer = asio::co_spawn(context, fetch(endpoint, Request(), PATIENCE), asio::use_future);
-    context.run();
-    server.join();
-    return answer.get();
-}
-
 } // namespace
 
 //! A relayed batch counted as accepted by its interim response 100; the refusal came after it.
