Answers with a line that begins with a blank are errors

Callers got a 200 whose headers or body were not the server's, when the name of a field in its head had a blank or a tab before it: the line was appended to the value of the field before it. With " Content-Length: 5" the body was read until the connection closed, with " Transfer-Encoding: chunked" the chunk sizes became part of it, and the stamp of the server was changed.

Cause: Beast unfolds such lines (obs-fold of RFC 7230) and doesn't tell; HTTP allows a gateway to unfold or to answer 502. HttpConnection now feeds the parser itself and looks for folds in the bytes that it takes, which are whole fields, so that a fold can't be divided. Such an answer ends with an error.

--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -50,6 +50,14 @@
     return {};
 }
 
+//! Whether a line of \a fields begins with a blank. The parser would append it to the value of the
+//! line before, so that a field with a blank before its name changes another one.
+auto hasFoldedLine(std::string_view fields) -> bool
+{
+    return fields.find("\r\n ") != std::string_view::npos
+        || fields.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 template <typename Stream>
@@ -108,10 +116,9 @@
         m_parser = std::make_unique<Parser>();
         m_parser->body_limit(m_bodyLimit);
         m_parser->skip(m_headRequest);
-        auto [error, bytes] =
-            co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, USE_TUPLE);
-        if (error)
-            co_return errorAt("http.readHead", error);
+        const auto parsed = co_await parseHead();
+        if (!parsed.ok())
+            co_return parsed;
         head.status = m_parser->get().result_int();
         const auto problem = problemOfHead(head.status);
         if (!problem.empty())
@@ -124,6 +131,38 @@
     co_return head;
 }
 
+template <typename Stream>
+auto HttpConnection<Stream>::parseHead() -> asio::awaitable<absl::Status>
+{
+    auto error = beast::error_code(beast::http::error::need_more);
+    while (true) {
+        if (m_buffer.size() > 0) {
+            const auto received = m_buffer.cdata();
+            const auto used = m_parser->put(received, error);
+            // The parser takes whole fields only, so that no fold is divided between two calls.
+            const auto folded = hasFoldedLine({ static_cast<const char *>(received.data()), used });
+            m_buffer.consume(used);
+            if (folded)
+                co_return unusableHead("a line of the head begins with a blank");
+        }
+        if (!error)
+            co_return absl::OkStatus();
+        if (error != beast::http::error::need_more)
+            co_return errorAt("http.readHead", error);
+        const auto room = beast::read_size(m_buffer, READ_BYTES);
+        if (room == 0)
+            co_return errorAt("http.readHead", beast::http::error::buffer_overflow);
+        auto [readError, bytes] =
+            co_await m_stream.async_read_some(m_buffer.prepare(room), USE_TUPLE);
+        if (readError == asio::error::eof)
+            readError = m_parser->got_some() ? beast::http::error::partial_message
+                                             : beast::http::error::end_of_stream;
+        if (readError)
+            co_return errorAt("http.readHead", readError);
+        m_buffer.commit(bytes);
+    }
+}
+
 template <typename Stream>
 auto HttpConnection<Stream>::readBody(base::Duration timeout)
     -> asio::awaitable<absl::StatusOr<std::optional<std::string>>>
--- a/src/connection/http/internal/httpconnection.h
+++ b/src/connection/http/internal/httpconnection.h
@@ -33,6 +33,8 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    //! Reads one head, final or interim, within the time set for the stream.
+    auto parseHead() -> boost::asio::awaitable<absl::Status>;
     auto errorAt(std::string_view step, boost::beast::error_code error) const -> absl::Status;
     auto unusableHead(std::string_view problem) const -> absl::Status;
     auto tcp() -> boost::beast::tcp_stream & { return boost::beast::get_lowest_layer(m_stream); }
