Answers with an unknown transfer coding are errors

Callers got a whole 200 whose body was still encoded, when a server sent "Transfer-Encoding: gzip", "gzip, chunked", "chunked, gzip" and the like: the body was read up to its length, its last chunk or the end of the connection as if the coding were not there, and passed on without the field that named it, as that field concerns one connection only.

Cause: Beast looks for "chunked" at the end of the list and ignores every other coding, and nothing here looked at the field. HttpConnection now takes "chunked" alone and ends an answer with any other coding with an error: no request offers codings (TE), so that none may be used.

--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/asio/ssl.hpp>
@@ -39,14 +40,25 @@
     return std::chrono::seconds(seconds);
 }
 
+//! Whether "chunked" is the only transfer coding. A body in another one would be passed on encoded,
+//! as the field that names its codings concerns one connection only.
+auto hasKnownCoding(const beast::http::fields &fields) -> bool
+{
+    const auto [first, last] = fields.equal_range(beast::http::field::transfer_encoding);
+    return std::all_of(first, last,
+                       [](const auto &field) { return beast::iequals(field.value(), "chunked"); });
+}
+
 //! Why an answer with this head is unusable although the parser takes any three digits for a
-//! status; empty if it is not.
-auto problemOfHead(std::uint32_t status) -> std::string_view
+//! status and reads a body in an unknown coding as it is; empty if it is not.
+auto problemOfHead(std::uint32_t status, const beast::http::fields &fields) -> std::string_view
 {
     if (status < FIRST_STATUS || status > LAST_STATUS)
         return "the status is none of HTTP";
     if (status == STATUS_SWITCHING_PROTOCOLS)
         return "the peer changed the protocol, which was not asked for";
+    if (!hasKnownCoding(fields))
+        return "the body has an unknown transfer coding";
     return {};
 }
 
@@ -120,7 +132,7 @@
         if (!parsed.ok())
             co_return parsed;
         head.status = m_parser->get().result_int();
-        const auto problem = problemOfHead(head.status);
+        const auto problem = problemOfHead(head.status, m_parser->get());
         if (!problem.empty())
             co_return unusableHead(problem);
     }
