Interim responses that announce a body are errors

Callers got as the answer what stood in the body of an interim response (status 100 to 199), when a server sent one with "Content-Length: 43" or "Transfer-Encoding: chunked": the bytes behind its head were read as the next head.

Cause: HTTP ends an interim response with its head, whatever its fields say, and forbids both fields there, so that a server which sends them has lost its framing and the next bytes can't be told apart. Such an answer ends with an error now; "Content-Length: 0" is harmless and still taken.

--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -49,8 +49,16 @@
                        [](const auto &field) { return beast::iequals(field.value(), "chunked"); });
 }
 
-//! Why an answer with this head is unusable although the parser takes any three digits for a
-//! status and reads a body in an unknown coding as it is; empty if it is not.
+//! Whether a body follows the head, unless the status rules it out.
+auto announcesBody(const beast::http::fields &fields) -> bool
+{
+    constexpr auto NO_BODY = std::string_view("0");
+    const auto length = fields.find(beast::http::field::content_length);
+    return fields.count(beast::http::field::transfer_encoding) > 0
+        || (length != fields.end() && length->value() != NO_BODY);
+}
+
+//! Why an answer is unusable for its head, though the parser takes it; empty if it is not.
 auto problemOfHead(std::uint32_t status, const beast::http::fields &fields) -> std::string_view
 {
     if (status < FIRST_STATUS || status > LAST_STATUS)
@@ -59,6 +67,9 @@
         return "the peer changed the protocol, which was not asked for";
     if (!hasKnownCoding(fields))
         return "the body has an unknown transfer coding";
+    const auto isInterim = status < FIRST_FINAL_STATUS;
+    if (isInterim && announcesBody(fields))
+        return "an interim response announces a body";
     return {};
 }
 
