Tests of broken answers at each place that reads answers

Fourteen forms of broken answers, sent by the stand-ins of the users' platform in place of sound ones: to forwarded requests that may and may not be repeated, streams, items, scores, reports and orders of servers, by the store and by the platform's calls. A caller must get a failure long before its time limit, a refusal must be true, and afterwards everything is served.

--- /dev/null
+++ b/tests/integration/test_brokenanswers.py
@@ -0,0 +1,158 @@
+"""Answers that break HTTP, at each place of the system that reads answers: none may reach a caller as an answer or
+change what the system knows, and none may hold up its caller."""
+
+import time
+import unittest
+
+from platformworld.brokenanswers import FORMS, SMUGGLED, SMUGGLED_STAMP, Breaker
+from platformworld.streamclient import StreamClient
+from platformworld.texts import parse_event
+from platformworld.world import MODEL, World, eventually
+
+TIME_LIMIT = 10.0
+#: Of a time limit; a caller that waited it out got nothing from the broken answer.
+AT_ONCE = TIME_LIMIT / 2
+ITEMS = 12
+EVENTS = 6
+#: How long the answers of the store are broken.
+STORE_TROUBLE = 2.0
+
+
+class BrokenAnswers(unittest.TestCase):
+    def setUp(self):
+        self.world = World(scorers=2 if "scores" in self._testMethodName else 0)
+        self.addCleanup(self.world.close)
+
+    def spoil(self, servers, breaker):
+        for server in servers:
+            server.server.spoil = breaker
+
+    def runs(self, request):
+        return sum(run["id"] == request for server in self.world.plains + self.world.engines for run in server.requests)
+
+    def check_refusal(self, status, request):
+        """A failure, and one that promises that nothing has run is true."""
+        self.assertIn(status, (502, 503))
+        if status == 503:
+            self.assertEqual(self.runs(request), 0)
+
+    def check_results(self, results):
+        self.assertEqual(sorted(result["id"] for result in results), sorted(f"item{number}" for number in range(ITEMS)))
+        for result in results:
+            self.assertEqual(result["state"], "completed")
+            events = [parse_event(line) for line in result["text"].split("\n")]
+            self.assertEqual([(event.item, event.number) for event in events],
+                             [(result["id"], number) for number in range(1, EVENTS + 1)])
+
+    def test_of_requests(self):
+        node = self.world.nodes[0]
+        for form in FORMS:
+            for path in ("/once/1", "/orders/1"):
+                with self.subTest(form=form, path=path):
+                    breaker = Breaker()
+                    breaker.forms = [form]
+                    self.spoil(self.world.plains, breaker)
+                    request = f"{path[1:5]}-{form}"
+                    started = time.monotonic()
+                    status, body, headers = node.call("POST", path, b"mats", headers={
+                        "X-Request-Id": request, "X-Deadline-Ms": str(int(TIME_LIMIT * 1000))}, timeout=TIME_LIMIT + 2)
+                    took = time.monotonic() - started
+                    print(form, path, status, body[:20], f"{took:.2f} s")
+                    self.spoil(self.world.plains, None)
+                    self.check_refusal(status, request)
+                    self.assertLess(took, AT_ONCE)
+                    self.assertNotIn(SMUGGLED, body)
+                    self.assertLessEqual(self.runs(request), 1 if path == "/once/1" else 2)
+                    self.assertTrue(breaker.broken)
+                eventually(lambda: node.call("POST", "/once/1", b"mats")[:2] == (200, b"done:mats"), 10,
+                           "service after the broken answer")
+
+    def test_of_streams(self):
+        node = self.world.nodes[0]
+        for form in FORMS:
+            with self.subTest(form=form):
+                breaker = Breaker()
+                breaker.forms = [form]
+                self.spoil(self.world.engines, breaker)
+                client = StreamClient("broken")
+                started = time.monotonic()
+                status = client.open(node, timeout=TIME_LIMIT + 2)
+                took = time.monotonic() - started
+                print(form, status, f"{took:.2f} s")
+                client.close()
+                self.spoil(self.world.engines, None)
+                self.check_refusal(status, client.first_request)
+                self.assertLess(took, AT_ONCE)
+                self.assertTrue(breaker.broken)
+
+            def is_served():
+                sound = StreamClient("sound")
+                whole = sound.open(node) == 200 and sound.read(EVENTS) and sound.in_order
+                sound.close()
+                return whole
+            eventually(is_served, 10, "a stream after the broken answer")
+
+    def test_of_items(self):
+        breaker = Breaker(each=1, concerns=lambda request: request.path.startswith("/steps/"))
+        self.spoil(self.world.engines, breaker)
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", ITEMS), 202)
+        results = self.world.wait_results(self.world.nodes[1], "b1", ITEMS, 20)
+        self.check_results(results)
+        self.assertEqual(breaker.broken, len(FORMS))
+
+    def test_of_scores(self):
+        breaker = Breaker(each=1)
+        self.spoil(self.world.scorers, breaker)
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", ITEMS), 202)
+        results = self.world.wait_results(self.world.nodes[1], "b1", ITEMS, 25)
+        self.check_results(results)
+        stamps = {call["stamp"] for scorer in self.world.scorers for call in scorer.requests}
+        for result in results:
+            self.assertIn(result["score"], stamps)
+            self.assertNotEqual(result["score"], SMUGGLED_STAMP)
+        self.assertEqual(breaker.broken, len(FORMS))
+
+    def test_of_reports_and_orders(self):
+        breaker = Breaker(each=1, concerns=lambda request: request.path in ("/v1/report", "/v1/order"))
+        self.spoil(self.world.engines, breaker)
+        self.world.name_version(2)
+        eventually(lambda: all(engine.version == 2 for engine in self.world.engines), 20, "version 2 everywhere")
+        self.assertTrue(breaker.broken)
+        self.assertEqual([len(engine.orders) for engine in self.world.engines], [1] * len(self.world.engines))
+        self.assertEqual({order["model"] for engine in self.world.engines for order in engine.orders}, {MODEL})
+        self.spoil(self.world.engines, None)
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", ITEMS, min_version=2), 202)
+        self.check_results(self.world.wait_results(self.world.nodes[0], "b1", ITEMS))
+
+    def test_of_the_store(self):
+        breaker = Breaker()
+        self.world.store_server.spoil = breaker
+        ends = time.monotonic() + STORE_TROUBLE
+        statuses = []
+        while time.monotonic() < ends:
+            statuses.append(self.world.submit(self.world.nodes[len(statuses) % 3], "b1", ITEMS))
+        self.world.store_server.spoil = None
+        print("submissions:", statuses, "broken answers:", breaker.broken)
+        self.assertFalse(set(statuses) - {202, 429, 502, 503, 504})
+        self.assertTrue(breaker.broken)
+        eventually(lambda: self.world.submit(self.world.nodes[0], "b1", ITEMS) == 202, 10, "a batch accepted")
+        results = self.world.wait_results(self.world.nodes[1], "b1", ITEMS, 20)
+        self.check_results(results)
+        for node in self.world.nodes:
+            self.assertTrue(node.running())
+            self.assertEqual(self.world.wait_results(node, "b1", ITEMS), results)
+
+    def test_of_the_platform(self):
+        breaker = Breaker(each=1)
+        self.world.cloud_server.spoil = breaker
+        for number in range(20):
+            self.assertEqual(self.world.nodes[number % 3].call("POST", "/orders/1")[0], 200)
+
+        def figures():
+            return {window: counts for _, window, counts in list(self.world.usage)}
+        eventually(lambda: not breaker.forms, 60, "every form sent")
+        eventually(lambda: sum(counts.get("amend", 0) for counts in figures().values()) == 20, 15, "20 requests reported")
+        for _, window, counts in self.world.usage:
+            self.assertEqual(figures()[window], counts)
+        windows = sorted(figures())
+        self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
--- a/tests/platformworld/httpd.py
+++ b/tests/platformworld/httpd.py
@@ -30,6 +30,14 @@
     late_copy: float | None = None
 
 
+@dataclasses.dataclass
+class Spoiled:
+    """What a server sends in place of an answer."""
+
+    sent: bytes
+    closes: bool = False  #: The connection ends behind it.
+
+
 class Silence(Exception):
     """The request gets no answer, and its connection stays open."""
 
@@ -55,12 +63,14 @@
 
 
 class Server:
-    """Serves `handle(request)` at one address; `stop` cuts all connections."""
+    """Serves `handle(request)` at one address; `stop` cuts all connections. `spoil(request, answer, body)` may
+    give a Spoiled answer, which is sent in place of the sound one."""
 
     def __init__(self, loop: Loop, host: str, port: int, handle) -> None:
         self.loop, self.host, self.port, self.handle = loop, host, port, handle
         self.writers: set[asyncio.StreamWriter] = set()
         self.server = None
+        self.spoil = None
 
     @property
     def endpoint(self) -> str:
@@ -110,6 +120,17 @@
         except Silence:
             await asyncio.sleep(3600)
             return False
+        if self.spoil is not None:
+            body = answer.body if answer.chunks is None else b"".join([chunk async for chunk in answer.chunks])
+            spoiled = self.spoil(request, answer, body)
+            if spoiled is not None:
+                writer.write(spoiled.sent)
+                await writer.drain()
+                if spoiled.closes:
+                    writer.write_eof()
+                    await reader.read(1)
+                return not spoiled.closes
+            answer = dataclasses.replace(answer, body=body, chunks=None)
         if answer.chunks is None:
             await self._write(writer, answer)
             return True
