Status checks keep little of an answer without end

In the standalone programs a server whose answer to a status check has no end took the dispatcher to 138 MB within 2 s, over its 128 MB; each further server of that kind adds as much.

Cause: status checks, cache events, cancellations and the engines' status were read with the general limit of 64 MB an answer. They have limits of their own now: 64 KB, and 1 MB for a page of cache events.

Evidence: Standalone.test_endless_answers_to_status_checks failed before (138 MB of 128) and passes now (12 MB). The new tests of broken answers to orders and to status checks (Standalone.test_of_orders, test_of_status_checks) pass on the code before this commit.

--- a/src/connection/backend/internal/probe.cpp
+++ b/src/connection/backend/internal/probe.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr auto SERVER_ERROR = 500U;
+//! Largest body of a status; a server in trouble may send one without end.
+constexpr auto MAX_STATUS_BYTES = std::uint64_t(64 * 1024);
 constexpr auto COUNT_RANGE = base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
 
 auto readStatus(const std::string &body, ProbeResult &result) -> void
@@ -38,6 +40,7 @@
     request.headers.push_back({ "Connection", "close" });
     auto options = http::ConnectOptions();
     options.timeout = timeout;
+    options.bodyBytes = MAX_STATUS_BYTES;
     auto result = ProbeResult();
     const auto answer = co_await http::fetch(endpoint, request, timeout, options);
     if (!answer.ok()) {
--- a/src/process/dispatch/internal/shardattempts.cpp
+++ b/src/process/dispatch/internal/shardattempts.cpp
@@ -23,6 +23,8 @@
 constexpr auto PREFIX_KEY_HEADER = "X-Prefix-Key";
 constexpr auto SEND_PAUSE = std::chrono::milliseconds(10);
 constexpr auto CANCEL_TIME = std::chrono::seconds(2);
+//! Largest body of the answer to a cancellation, which nothing reads.
+constexpr auto MAX_CANCEL_ANSWER_BYTES = std::uint64_t(64 * 1024);
 
 auto cancelAtEngine(std::string address, std::string attemptId) -> asio::awaitable<void>
 {
@@ -31,7 +33,9 @@
     request.target = "/v1/cancel";
     request.headers.push_back({ "Content-Type", "application/json" });
     request.body = boost::json::serialize(boost::json::object { { "request_id", attemptId } });
-    (void)co_await connection::http::fetch(address, request, CANCEL_TIME);
+    auto options = connection::http::ConnectOptions();
+    options.bodyBytes = MAX_CANCEL_ANSWER_BYTES;
+    (void)co_await connection::http::fetch(address, request, CANCEL_TIME, options);
 }
 
 } // namespace
--- a/src/process/dispatch/internal/shardservers.cpp
+++ b/src/process/dispatch/internal/shardservers.cpp
@@ -18,6 +18,8 @@
 using connection::backend::ProbeKind;
 
 constexpr auto EVENT_TIME = std::chrono::seconds(1);
+//! Largest body of a page of cache events.
+constexpr auto MAX_EVENTS_BYTES = std::uint64_t(1024 * 1024);
 constexpr auto NUMBER_RANGE = base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
 
 auto limitOptionsOf(const version::configuration::Service *service) -> request::limit::LimitOptions
@@ -140,8 +142,10 @@
     auto request = connection::http::Request();
     request.target = base::concat("/v1/cache_events?from=", cursor);
     request.headers.push_back({ "Connection", "close" });
+    auto options = connection::http::ConnectOptions();
+    options.bodyBytes = MAX_EVENTS_BYTES;
     const auto answer =
-        co_await connection::http::fetch(server->server().address, request, EVENT_TIME);
+        co_await connection::http::fetch(server->server().address, request, EVENT_TIME, options);
     if (!answer.ok())
         co_return;
     const auto parsed = base::parseJson(answer->body);
--- a/src/version/weights/internal/enginestatus.cpp
+++ b/src/version/weights/internal/enginestatus.cpp
@@ -19,6 +19,8 @@
 constexpr auto POLL_INTERVAL_STALE = base::Duration(std::chrono::seconds(2));
 constexpr auto POLL_INTERVAL_IDLE = base::Duration(std::chrono::seconds(10));
 constexpr auto POLL_INTERVAL_FAILING = base::Duration(std::chrono::seconds(1));
+//! Largest body of a status; an engine in trouble may send one without end.
+constexpr auto MAX_STATUS_BYTES = std::uint64_t(64 * 1024);
 constexpr auto POLL_FAILURES_UNTIL_UNKNOWN = 2U;
 constexpr auto NUMBER_RANGE = base::IntegerRange { 0, std::numeric_limits<std::int64_t>::max() };
 constexpr auto HTTP_OK = 200U;
@@ -36,7 +38,9 @@
 {
     auto request = http::Request();
     request.target = "/v1/status";
-    const auto response = co_await http::fetch(endpoint, std::move(request), POLL_TIMEOUT);
+    auto options = http::ConnectOptions();
+    options.bodyBytes = MAX_STATUS_BYTES;
+    const auto response = co_await http::fetch(endpoint, std::move(request), POLL_TIMEOUT, options);
     if (!response.ok())
         co_return response.status();
     const auto body = base::parseJson(response->body);
--- a/tests/integration/test_brokenanswers.py
+++ b/tests/integration/test_brokenanswers.py
@@ -1,10 +1,13 @@
 """Answers that break HTTP, at each place of the system that reads answers: none may reach a caller as an answer or
 change what the system knows, and none may hold up its caller."""
 
+import json
 import time
 import unittest
 
+from harness.case import ClusterCase
 from platformworld.brokenanswers import FORMS, SMUGGLED, SMUGGLED_STAMP, Breaker
+from platformworld.httpd import Answer, Loop, Server
 from platformworld.streamclient import StreamClient
 from platformworld.texts import parse_event
 from platformworld.world import MODEL, World, eventually
@@ -16,6 +19,10 @@
 EVENTS = 6
 #: How long the answers of the store are broken.
 STORE_TROUBLE = 2.0
+#: How long the answers to the status checks of the standalone programs are broken.
+CHECK_TROUBLE = 2.0
+#: Memory of one standalone process.
+PROCESS_MEMORY_MB = 128
 
 
 class BrokenAnswers(unittest.TestCase):
@@ -156,3 +163,84 @@
             self.assertEqual(figures()[window], counts)
         windows = sorted(figures())
         self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+
+
+class Standalone(ClusterCase):
+    """The standalone programs before a plain server of ours, which takes the place of the stand-in's process."""
+
+    options = {"vms": 1, "engines": 3, "plains": 1}
+
+    def setUp(self):
+        super().setUp()
+        self.loop, self.ran, self.endless = Loop(), [], lambda request: False
+        self.addCleanup(self.loop.close)
+        name = f"{self.deployment.plain.name}-0"
+        self.cluster.processes[name].kill()
+        host, port = self.cluster.server_target(name).split(":")
+        self.server = Server(self.loop, host, int(port), self.handle).start()
+        self.addCleanup(self.server.stop)
+        self.wait_service()
+
+    async def handle(self, request):
+        headers = {"X-Boot-Id": "second", "Content-Type": "application/json"}
+        is_check = request.path == "/health"
+        if self.endless(request):
+            return Answer(200, headers, chunks=self.bytes_without_end())
+        if is_check:
+            return Answer(200, headers, json.dumps({"boot_id": "second", "cold": False, "running": 0}).encode())
+        self.ran.append(json.loads(request.body)["order"])
+        return Answer(200, headers, b'{"confirmation": "ours"}')
+
+    @staticmethod
+    async def bytes_without_end():
+        while True:
+            yield b"x" * 65536
+
+    def wait_service(self):
+        eventually(lambda: self.order("ordinary").status == 200, 15, "orders are served")
+
+    def peak_mb(self, name):
+        with open(f"/proc/{self.cluster.processes[name].popen.pid}/status", encoding="ascii") as status:
+            return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:")) / 1024
+
+    def check_memory(self):
+        peaks = {name: round(self.peak_mb(name)) for name in ("gateway-0", "dispatcher-0", "controller-0")}
+        print("peaks in MB:", peaks)
+        for name, peak in peaks.items():
+            self.assertTrue(self.cluster.processes[name].alive(), name)
+            self.assertLess(peak, PROCESS_MEMORY_MB, name)
+
+    def test_of_orders(self):
+        for form in FORMS:
+            with self.subTest(form=form):
+                breaker = Breaker(concerns=lambda request: request.path == "/orders")
+                breaker.forms = [form]
+                self.server.spoil = breaker
+                started = time.monotonic()
+                answer = self.order(form, timeout=TIME_LIMIT + 2)
+                took = time.monotonic() - started
+                print(form, answer.status, answer.text[:60], f"{took:.2f} s")
+                self.server.spoil = None
+                self.assertGreaterEqual(answer.status, 500)
+                self.assertLess(answer.status, 600)
+                self.assertEqual(answer.json()["error"]["ran"], "unknown" if form in self.ran else "not_run")
+                self.assertLess(took, AT_ONCE)
+                self.assertLessEqual(self.ran.count(form), 1)
+                self.assertTrue(breaker.broken)
+            self.wait_service()
+
+    def test_of_status_checks(self):
+        breaker = Breaker(concerns=lambda request: request.path == "/health")
+        self.server.spoil = breaker
+        time.sleep(CHECK_TROUBLE)
+        self.server.spoil = None
+        self.assertTrue(breaker.broken)
+        self.wait_service()
+        self.check_memory()
+
+    def test_endless_answers_to_status_checks(self):
+        self.endless = lambda request: request.path == "/health"
+        time.sleep(CHECK_TROUBLE)
+        self.endless = lambda request: False
+        self.check_memory()
+        self.wait_service()
