Answers that a dispatcher reads have a common limit

A server whose answers to orders have no end took the dispatcher of the standalone programs to 314 to 420 MB with 12 callers (its process may have 128 MB), and with it the requests of all others.

Cause: each answer that is not streamed was kept up to 32 MB, whatever all of them held, and freed buffers stayed with the allocator. All attempts of a process now share a ByteBudget ("answer_bytes" of the dispatcher's policy, 32 MB by default, which the largest answer just fits); an attempt that finds no room ends like one whose answer is too large, as "may have run". Answers up to 64 KB need no room. Large buffers are mapped by themselves, as the gateway and the node do.

--- a/src/app/dispatcher/main.cpp
+++ b/src/app/dispatcher/main.cpp
@@ -7,6 +7,7 @@
 #include "process/inventory/vmlistinventory.h"
 #include "process/logging/logging.h"
 #include "process/membership/gossipmembership.h"
+#include "process/memory/allocator.h"
 #include "process/metrics/metrics.h"
 #include "process/runtime/runtime.h"
 #include "process/settings/settings.h"
@@ -99,6 +100,7 @@
 {
     const auto &node = settings.node;
     process::logging::start(PROGRAM, node.id, node.logLevel);
+    process::memory::mapLargeBuffers();
     auto runtime = process::runtime::Runtime(node.threads);
     auto &context = runtime.context();
     auto registry = process::metrics::Registry();
--- a/src/process/dispatch/dispatcher.h
+++ b/src/process/dispatch/dispatcher.h
@@ -88,6 +88,7 @@
     DispatcherDependencies m_dependencies;
     request::attempt::AttemptIndex m_index;
     shards::ShardOwnership m_ownership;
+    std::shared_ptr<memory::ByteBudget> m_answerBytes;
     std::map<std::string, WorkerPtr> m_workers; //!< By shard.
     std::function<void()> m_onDrained;
     base::TimePoint m_nextReport {};
--- a/src/process/dispatch/dispatchpolicy.h
+++ b/src/process/dispatch/dispatchpolicy.h
@@ -22,6 +22,8 @@
     base::Duration progressTime = std::chrono::seconds(5);
     //! Connections to backend servers whose bytes stay unacknowledged for longer are ended.
     base::Duration userTimeout = std::chrono::seconds(5);
+    //! What the answers of all servers hold together while they are read; the largest answer fits.
+    std::uint64_t answerBytes = 32 * 1024 * 1024;
 };
 
 //! Reads the object "policy"; problems stay in \a reader.
--- a/src/process/dispatch/internal/dispatcher.cpp
+++ b/src/process/dispatch/internal/dispatcher.cpp
@@ -46,6 +46,7 @@
     , m_dependencies(std::move(dependencies))
     , m_index(ATTEMPT_MEMORY, m_dependencies.now())
     , m_ownership(options.handoverDelay)
+    , m_answerBytes(std::make_shared<memory::ByteBudget>(options.policy.answerBytes))
 { }
 
 auto Dispatcher::start() -> void
@@ -159,8 +160,8 @@
     auto send = [&link](const std::string &peer, wire::Envelope message) {
         return link.send(peer, std::move(message));
     };
-    auto dependencies =
-        ShardDependencies { m_dependencies.now, send, m_index, m_dependencies.metrics };
+    auto dependencies = ShardDependencies { m_dependencies.now, send, m_index,
+                                            m_dependencies.metrics, m_answerBytes };
     worker = std::make_shared<ShardWorker>(asio::make_strand(m_dependencies.context), shard,
                                            service, m_options.policy, std::move(dependencies));
     return worker;
--- a/src/process/dispatch/internal/dispatchpolicy.cpp
+++ b/src/process/dispatch/internal/dispatchpolicy.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr auto QUEUE_BOUND_RANGE = base::IntegerRange { 1, 1'000'000 };
+constexpr auto ANSWER_BYTES_RANGE =
+    base::IntegerRange { 1024 * 1024, std::int64_t(64) * 1024 * 1024 * 1024 };
 constexpr auto TIME_RANGE =
     base::DurationRange { std::chrono::milliseconds(10), std::chrono::minutes(5) };
 
@@ -38,6 +40,8 @@
     policy.probeTimeout = object.duration("probe_timeout", TIME_RANGE, policy.probeTimeout);
     policy.progressTime = object.duration("progress_time", TIME_RANGE, policy.progressTime);
     policy.userTimeout = object.duration("user_timeout", TIME_RANGE, policy.userTimeout);
+    policy.answerBytes = static_cast<std::uint64_t>(object.integer(
+        "answer_bytes", ANSWER_BYTES_RANGE, static_cast<std::int64_t>(policy.answerBytes)));
     reader.absorb(object);
     return policy;
 }
--- a/src/process/dispatch/internal/shardattempts.cpp
+++ b/src/process/dispatch/internal/shardattempts.cpp
@@ -56,6 +56,7 @@
     spec.engine = isEngine();
     spec.deadline = pending.item.deadline;
     spec.progressTime = m_policy.progressTime;
+    spec.answerBytes = m_dependencies.answerBytes;
     // An engine tells streams apart by this id, so that a cancellation ends just this attempt.
     const auto id = spec.engine ? submit.attempt_id() : submit.request_id();
     connection::http::removeHeader(spec.request.headers, REQUEST_ID_HEADER);
--- a/src/process/dispatch/shardworker.h
+++ b/src/process/dispatch/shardworker.h
@@ -43,6 +43,7 @@
     std::function<absl::Status(const std::string &peer, wire::Envelope)> send;
     request::attempt::AttemptIndex &index;
     metrics::Registry &metrics;
+    std::shared_ptr<memory::ByteBudget> answerBytes; //!< Shared by all shards.
 };
 
 //! One shard: its queue, its backend servers and what runs on them. Every call runs on the shard's
--- a/src/request/attempt/attempt.h
+++ b/src/request/attempt/attempt.h
@@ -9,6 +9,7 @@
 
 #include "connection/backend/backendpool.h"
 #include "connection/link/link.pb.h"
+#include "process/memory/bytebudget.h"
 
 //! Sends one request to one backend server once.
 namespace nutmegplank::request::attempt {
@@ -61,6 +62,9 @@
     bool engine = false; //!< The backend server is a model engine.
     base::TimePoint deadline {};
     base::Duration progressTime = std::chrono::seconds(5); //!< Maximum gap in an engine's answer.
+    //! What the buffered answers of all attempts may hold together while they are read; null for no
+    //! common limit.
+    std::shared_ptr<process::memory::ByteBudget> answerBytes;
 };
 
 //! Runs one attempt. All calls must be made on the strand of the pool.
--- a/src/request/attempt/internal/attempt.cpp
+++ b/src/request/attempt/internal/attempt.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "base/status.h"
+#include "process/memory/heldbytes.h"
 #include "request/attempt/enginestream.h"
 
 namespace nutmegplank::request::attempt {
@@ -18,6 +19,9 @@
 constexpr auto MIN_IO_TIMEOUT = base::Duration(1000); //!< Microseconds.
 //! Limit of an answer that is not streamed.
 constexpr auto MAX_BUFFERED_ANSWER_BYTES = std::size_t(32 * 1024 * 1024);
+//! Answers up to this size take nothing of the common limit, so that they have room beside large
+//! ones.
+constexpr auto SMALL_ANSWER_BYTES = std::size_t(64 * 1024);
 constexpr auto MILLISECONDS_PER_SECOND = 1000U;
 
 auto parseNumber(const std::string &text) -> std::uint32_t
@@ -153,6 +157,7 @@
     const auto isEngineAnswer = m_spec.engine && head.status == STATUS_OK;
     auto engineStream = EngineStream(isEngineAnswer ? resumedTokens(m_spec.request.body) : 0);
     auto outcome = AttemptOutcome();
+    auto held = process::memory::HeldBytes(m_spec.answerBytes);
     auto lastTokensAt = m_hooks.now();
     while (true) {
         auto part = co_await connection.readBody(ioTimeout());
@@ -176,10 +181,14 @@
         }
         if (!m_spec.stream) {
             outcome.body += **part;
-            if (outcome.body.size() > MAX_BUFFERED_ANSWER_BYTES) {
+            const auto bytes = outcome.body.size();
+            const auto hasRoom = bytes <= SMALL_ANSWER_BYTES || held.resize(bytes);
+            if (!hasRoom || bytes > MAX_BUFFERED_ANSWER_BYTES) {
                 connection.close();
+                const auto *problem =
+                    hasRoom ? "the answer is too large" : "no room for the answer";
                 co_return makeFailure(wire::FAILURE_TRUNCATED,
-                                      absl::ResourceExhaustedError("the answer is too large"));
+                                      absl::ResourceExhaustedError(problem));
             }
             continue;
         }
--- a/tests/integration/test_brokenanswers.py
+++ b/tests/integration/test_brokenanswers.py
@@ -2,6 +2,7 @@
 change what the system knows, and none may hold up its caller."""
 
 import json
+import threading
 import time
 import unittest
 
@@ -23,6 +24,8 @@
 CHECK_TROUBLE = 2.0
 #: Memory of one standalone process.
 PROCESS_MEMORY_MB = 128
+#: Callers at a time of a server whose answers don't end.
+ENDLESS_CALLERS = 12
 
 
 class BrokenAnswers(unittest.TestCase):
@@ -238,6 +241,17 @@
         self.wait_service()
         self.check_memory()
 
+    def test_endless_answers_to_orders(self):
+        self.endless = lambda request: request.path == "/orders"
+        callers = [threading.Thread(target=self.order, args=(f"endless-{number}",)) for number in range(ENDLESS_CALLERS)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        self.endless = lambda request: False
+        self.check_memory()
+        self.wait_service()
+
     def test_endless_answers_to_status_checks(self):
         self.endless = lambda request: request.path == "/health"
         time.sleep(CHECK_TROUBLE)
