Scoring calls keep nothing of the bodies of answers

Scorers whose answers have no end took the holder of the lease, which calls them, to 272 MB, over the 160 MB of the smallest machine: 20 scorers with 80 items waiting. Its process ends by that, and with it the requests of its callers.

Cause: each scoring call kept the body of its answer, up to 4 MB, though the score is the stamp in the head. The bodies are read to their end now, as an answer must be whole, and nothing is kept; the limit of 4 MB stays. discardBody() moved from readOwnResponse to the HTTP client for that.

--- a/src/connection/http/httpclient.h
+++ b/src/connection/http/httpclient.h
@@ -37,8 +37,8 @@
 auto exchangeWhole(IHttpConnection &connection, const Request &request, base::TimePoint deadline)
     -> boost::asio::awaitable<absl::StatusOr<Response>>;
 
-//! Appends the body of \a response to it, after its head was read on \a connection.
-auto readWholeBody(IHttpConnection &connection, Response &response, base::TimePoint deadline)
+//! Reads the body of an answer to its end and keeps nothing of it; \a timeLeft limits each read.
+auto discardBody(IHttpConnection &connection, std::function<base::Duration()> timeLeft)
     -> boost::asio::awaitable<absl::Status>;
 
 //! One exchange on a connection of its own, with the whole body; \a timeout covers all of it. On an
--- a/src/connection/http/internal/httpclient.cpp
+++ b/src/connection/http/internal/httpclient.cpp
@@ -49,6 +49,20 @@
     return std::max(LEAST_STEP_TIME, deadline - process::clock::now());
 }
 
+//! Appends the body of \a response to it, after its head was read.
+auto readWholeBody(IHttpConnection &connection, Response &response, base::TimePoint deadline)
+    -> asio::awaitable<absl::Status>
+{
+    while (true) {
+        auto part = co_await connection.readBody(timeLeft(deadline));
+        if (!part.ok())
+            co_return part.status();
+        if (!part->has_value())
+            co_return absl::OkStatus();
+        response.body += **part;
+    }
+}
+
 } // namespace
 
 auto isRefused(const absl::Status &status) -> bool
@@ -89,16 +103,15 @@
         std::move(secure), endpoint, options.bodyBytes);
 }
 
-auto readWholeBody(IHttpConnection &connection, Response &response, base::TimePoint deadline)
+auto discardBody(IHttpConnection &connection, std::function<base::Duration()> timeLeft)
     -> asio::awaitable<absl::Status>
 {
     while (true) {
-        auto part = co_await connection.readBody(timeLeft(deadline));
+        const auto part = co_await connection.readBody(timeLeft());
         if (!part.ok())
             co_return part.status();
         if (!part->has_value())
             co_return absl::OkStatus();
-        response.body += **part;
     }
 }
 
--- a/src/request/scoring/scoringcall.cpp
+++ b/src/request/scoring/scoringcall.cpp
@@ -92,7 +92,8 @@
         co_return CallOutcome { CallEnd::Lost, 0, {}, base::describe(response.status()) };
     m_skippedOthers = response->skippedOthers;
     m_onHead(response->metadata);
-    const auto read = co_await http::readWholeBody(connection, response->head, deadline);
+    // The score is the stamp; the body of a scorer in trouble may have no end.
+    const auto read = co_await http::discardBody(connection, timeLeft);
     if (!read.ok())
         co_return CallOutcome { CallEnd::Lost, 0, {}, base::describe(read) };
     co_return classify(response->head, response->metadata);
--- a/src/request/serverprotocol/ownresponse.cpp
+++ b/src/request/serverprotocol/ownresponse.cpp
@@ -1,6 +1,7 @@
 #include "request/serverprotocol/ownresponse.h"
 
 #include "base/status.h"
+#include "connection/http/httpclient.h"
 
 namespace nutmegplank::request::serverprotocol {
 
@@ -19,18 +20,6 @@
     return isAnonymous || metadata.requestId == requestId;
 }
 
-auto discardBody(http::IHttpConnection &connection, std::function<base::Duration()> timeLeft)
-    -> asio::awaitable<absl::Status>
-{
-    while (true) {
-        const auto part = co_await connection.readBody(timeLeft());
-        if (!part.ok())
-            co_return part.status();
-        if (!part->has_value())
-            co_return absl::OkStatus();
-    }
-}
-
 } // namespace
 
 auto readOwnResponse(http::IHttpConnection &connection, const IServerProtocol &protocol,
@@ -48,7 +37,7 @@
             co_return result;
         }
         result.skippedOthers = true;
-        const auto discarded = co_await discardBody(connection, timeLeft);
+        const auto discarded = co_await http::discardBody(connection, timeLeft);
         if (!discarded.ok())
             co_return discarded;
     }
--- a/tests/integration/test_brokenanswers.py
+++ b/tests/integration/test_brokenanswers.py
@@ -9,6 +9,7 @@
 from harness.case import ClusterCase
 from platformworld.brokenanswers import FORMS, SMUGGLED, SMUGGLED_STAMP, Breaker
 from platformworld.httpd import Answer, Loop, Server
+from platformworld.servers import bytes_without_end
 from platformworld.streamclient import StreamClient
 from platformworld.texts import parse_event
 from platformworld.world import MODEL, World, eventually
@@ -24,13 +25,26 @@
 CHECK_TROUBLE = 2.0
 #: Memory of one standalone process.
 PROCESS_MEMORY_MB = 128
+#: Memory of the smallest machine of the users' deployments.
+SMALLEST_MACHINE_MB = 160
+#: How long scorers answer without end.
+ENDLESS_SECONDS = 3.0
+#: Scorers whose answers don't end, and items that wait for them.
+ENDLESS_SCORERS, ENDLESS_ITEMS = 20, 80
 #: Callers at a time of a server whose answers don't end.
 ENDLESS_CALLERS = 12
 
 
+def peak_mb(popen) -> float:
+    """The most memory that a process has had."""
+    with open(f"/proc/{popen.pid}/status", encoding="ascii") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:")) / 1024
+
+
 class BrokenAnswers(unittest.TestCase):
     def setUp(self):
-        self.world = World(scorers=2 if "scores" in self._testMethodName else 0)
+        self.world = World(scorers={"test_of_scores": 2, "test_endless_scores": ENDLESS_SCORERS}.get(
+            self._testMethodName, 0))
         self.addCleanup(self.world.close)
 
     def spoil(self, servers, breaker):
@@ -122,6 +136,17 @@
             self.assertNotEqual(result["score"], SMUGGLED_STAMP)
         self.assertEqual(breaker.broken, len(FORMS))
 
+    def test_endless_scores(self):
+        for scorer in self.world.scorers:
+            scorer.endless = True
+        self.assertEqual(self.world.submit(self.world.nodes[0], "b1", ENDLESS_ITEMS), 202)
+        eventually(lambda: sum(len(scorer.requests) for scorer in self.world.scorers) > ENDLESS_ITEMS, 20, "calls")
+        time.sleep(ENDLESS_SECONDS)
+        peaks = [round(peak_mb(node.popen)) for node in self.world.nodes]
+        print("peaks in MB:", peaks)
+        self.assertLess(max(peaks), SMALLEST_MACHINE_MB)
+        self.assertTrue(all(node.running() for node in self.world.nodes))
+
     def test_of_reports_and_orders(self):
         breaker = Breaker(each=1, concerns=lambda request: request.path in ("/v1/report", "/v1/order"))
         self.spoil(self.world.engines, breaker)
@@ -188,26 +213,17 @@
         headers = {"X-Boot-Id": "second", "Content-Type": "application/json"}
         is_check = request.path == "/health"
         if self.endless(request):
-            return Answer(200, headers, chunks=self.bytes_without_end())
+            return Answer(200, headers, chunks=bytes_without_end())
         if is_check:
             return Answer(200, headers, json.dumps({"boot_id": "second", "cold": False, "running": 0}).encode())
         self.ran.append(json.loads(request.body)["order"])
         return Answer(200, headers, b'{"confirmation": "ours"}')
 
-    @staticmethod
-    async def bytes_without_end():
-        while True:
-            yield b"x" * 65536
-
     def wait_service(self):
         eventually(lambda: self.order("ordinary").status == 200, 15, "orders are served")
 
-    def peak_mb(self, name):
-        with open(f"/proc/{self.cluster.processes[name].popen.pid}/status", encoding="ascii") as status:
-            return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:")) / 1024
-
     def check_memory(self):
-        peaks = {name: round(self.peak_mb(name)) for name in ("gateway-0", "dispatcher-0", "controller-0")}
+        peaks = {name: round(peak_mb(self.cluster.processes[name].popen)) for name in ("gateway-0", "dispatcher-0", "controller-0")}
         print("peaks in MB:", peaks)
         for name, peak in peaks.items():
             self.assertTrue(self.cluster.processes[name].alive(), name)
--- a/tests/platformworld/servers.py
+++ b/tests/platformworld/servers.py
@@ -14,6 +14,11 @@
 from platformworld.texts import EventData
 
 
+async def bytes_without_end():
+    while True:
+        yield b"x" * 65536
+
+
 class Backend:
     """What all backend servers have in common: an id, an incarnation, and their record in the store. `limit_to` makes
     one name a request limit in all its answers; what it then gets is in `limits`. One that is `leaving` says so in all
@@ -127,7 +132,7 @@
         if self.swell_on is not None and request.body == self.swell_on:
             return Answer(200, self.stamp(request), b"x" * self.SWOLLEN_BYTES)
         if self.endless:
-            return Answer(200, self.stamp(request), chunks=self.bytes_without_end())
+            return Answer(200, self.stamp(request), chunks=bytes_without_end())
         if self.answer_bytes is not None:
             return Answer(200, self.stamp(request), chunks=self.large_answer(),
                           length=None if self.answer_chunked else self.answer_bytes)
@@ -148,16 +153,13 @@
         await self.server._stop()
         raise Reset
 
-    @staticmethod
-    async def bytes_without_end():
-        while True:
-            yield b"x" * 65536
-
 
 class ScorerBackend(Backend):
     """Rates texts. Each call gets a stamp of its own; `work` is in seconds. `fail_for` names bodies that always get
     500, `lose_next` counts calls that run and lose their answer, `late_copy` is as of an Answer."""
 
+    endless = False  #: Its answers have no end.
+
     def __init__(self, loop: Loop, store, service: str, name: str, zone: str) -> None:
         self.work, self.lose_next, self.late_copy = 0.02, 0, None
         self.fail_for: set[bytes] = set()
@@ -187,6 +189,8 @@
             raise Reset
         run["status"] = 500 if request.body in self.fail_for else 200
         headers = {"X-Request-Id": run["id"], "X-Server-Stamp": stamp}
+        if self.endless:
+            return Answer(200, headers, chunks=bytes_without_end())
         return Answer(run["status"], headers, b"rated", late_copy=self.late_copy)
 
 
