--- a/src/app/node/batchstore.cpp
+++ b/src/app/node/batchstore.cpp
@@ -34,6 +34,8 @@
 constexpr auto RECORD_OVERHEAD = std::size_t(256);
 //! Batches whose items are held in memory, for reads of bodies.
 constexpr auto RECENT_SUBMISSIONS = std::size_t(3);
+//! The follower reads what a read of its own has found within this.
+constexpr auto READ_TO_END = std::chrono::milliseconds(300);
 constexpr auto POSITION_CHECK = std::chrono::milliseconds(10);
 
 } // namespace
@@ -46,6 +48,7 @@
     , m_log({ [this](const Batch &batch) {
                  process::logging::info("batch.read",
                                         { { "batch", batch.head.id },
+                                          { "workspace", batch.head.owner.workspace },
                                           { "items", batch.itemCount() },
                                           { "offset", m_follower.position() - 1 } });
                  if (m_hooks.onAccepted)
@@ -84,11 +87,11 @@
 
 //! Usually one call. Records count only once the index names them, so that a batch which needs
 //! several calls is whole or not there. Gives the place of the first record.
-auto BatchStore::storeBulk(const std::string &batchId, std::vector<std::string> records)
+auto BatchStore::storeBulk(const std::string &batchKey, std::vector<std::string> records)
     -> asio::awaitable<StoredBulk>
 {
     const auto limits = m_journal.limits();
-    const auto number = m_bulk.choose(batchId, limits.partitions, process::clock::now());
+    const auto number = m_bulk.choose(batchKey, limits.partitions, process::clock::now());
     auto first = std::optional<std::uint64_t>();
     auto result = journal::AppendResult();
     auto next = records.begin();
@@ -122,7 +125,7 @@
          ++tries) {
         auto records =
             version::batch::encodeSubmission(*kept, attempt, m_journal.limits().recordBytes);
-        stored = co_await storeBulk(kept->head.id, std::move(records));
+        stored = co_await storeBulk(kept->head.key(), std::move(records));
         // A refusal costs nothing and may hold for the whole log; silence is of one partition.
         if (stored.result.outcome == AppendOutcome::NotWritten
             || stored.result.outcome == AppendOutcome::Rejected)
@@ -151,18 +154,18 @@
         m_recent.pop_back();
 }
 
-auto BatchStore::loadSubmission(std::string batchId)
+auto BatchStore::loadSubmission(std::string batchKey)
     -> asio::awaitable<absl::StatusOr<SubmissionPtr>>
 {
-    const auto *batch = m_log.find(batchId);
+    const auto *batch = m_log.find(batchKey);
     if (batch == nullptr)
         co_return absl::NotFoundError("no such batch");
     for (const auto &recent : m_recent) {
-        if (recent->head.id == batchId)
+        if (recent->head.key() == batchKey)
             co_return recent;
     }
     const auto partition = bulkPartition(batch->place.partition);
-    auto assembler = version::batch::SubmissionAssembler(batchId, batch->attempt);
+    auto assembler = version::batch::SubmissionAssembler(batch->head.id, batch->attempt);
     auto offset = batch->place.offset;
     while (!assembler.complete()) {
         m_bulkReads.add();
@@ -183,11 +186,11 @@
     co_return SubmissionPtr(shared);
 }
 
-auto BatchStore::loadProgress(std::string batchId)
+auto BatchStore::loadProgress(std::string batchKey)
     -> asio::awaitable<std::vector<version::batch::Progress>>
 {
     auto progress = version::batch::NewestProgress();
-    const auto *batch = m_log.find(batchId);
+    const auto *batch = m_log.find(batchKey);
     if (batch == nullptr || batch->progress.empty())
         co_return progress.take();
     const auto places = batch->progress;
@@ -196,13 +199,13 @@
         const auto record = co_await loadRecord(cached, place);
         if (!record.ok()) {
             process::logging::warning("batch.progress_unread",
-                                      { { "batch", batchId },
+                                      { { "batch", version::batch::idOf(batchKey) },
                                         { "partition", place.partition },
                                         { "offset", place.offset },
                                         { "problem", base::describe(record.status()) } });
             co_return progress.take();
         }
-        auto kept = version::batch::decodeProgress((*record)->data, batchId);
+        auto kept = version::batch::decodeProgress((*record)->data, batchKey);
         if (kept.has_value())
             progress.add(std::move(*kept));
     }
@@ -236,14 +239,14 @@
     co_return std::to_address(found);
 }
 
-auto BatchStore::loadResults(std::string batchId, std::uint64_t position, std::size_t mostBytes)
+auto BatchStore::loadResults(std::string batchKey, std::uint64_t position, std::size_t mostBytes)
     -> asio::awaitable<absl::StatusOr<std::vector<version::batch::Result>>>
 {
     auto results = std::vector<version::batch::Result>();
     auto bytes = std::size_t(0);
     auto cached = CachedPage();
     while (true) {
-        const auto *batch = m_log.find(batchId);
+        const auto *batch = m_log.find(batchKey);
         if (batch == nullptr || position >= batch->listedCount)
             co_return results;
         const auto after = std::ranges::upper_bound(batch->groups, position, {},
@@ -254,7 +257,7 @@
         const auto record = co_await loadRecord(cached, group.place);
         if (!record.ok())
             co_return record.status();
-        auto stored = version::batch::decodeResults((*record)->data, batchId);
+        auto stored = version::batch::decodeResults((*record)->data, batchKey);
         if (!stored.has_value())
             co_return absl::DataLossError("results cannot be read");
         for (auto index = position - group.firstPosition; index < group.kept.size(); ++index) {
@@ -268,35 +271,29 @@
     }
 }
 
-auto BatchStore::end(std::string batchId) -> asio::awaitable<journal::AppendResult>
+auto BatchStore::end(std::string batchKey) -> asio::awaitable<journal::AppendResult>
 {
-    auto records = std::vector<std::string> { version::batch::encodeEnd(batchId) };
+    auto records = std::vector<std::string> { version::batch::encodeEnd(batchKey) };
     co_return co_await m_journal.appendUnconditionally(partitionFor(PartitionUse::Index),
                                                        std::move(records), APPEND_TIME);
 }
 
-auto BatchStore::look(std::string batchId) -> asio::awaitable<Presence>
+auto BatchStore::readToEnd() -> asio::awaitable<bool>
 {
-    if (m_log.find(batchId) != nullptr)
-        co_return Presence::Known;
     const auto page = co_await m_journal.read(partitionFor(PartitionUse::Index), position(),
                                               journal::ReadTimes());
     if (!page.ok() || page->compacted)
-        co_return Presence::Unsure;
-    const auto readAll =
-        co_await waitForPosition(page->end, process::clock::now() + std::chrono::milliseconds(300));
-    if (m_log.find(batchId) != nullptr)
-        co_return Presence::Known;
-    co_return readAll ? Presence::Absent : Presence::Unsure;
+        co_return false;
+    co_return co_await waitForPosition(page->end, process::clock::now() + READ_TO_END);
 }
 
-auto BatchStore::waitForChange(std::string batchId, base::TimePoint until) -> asio::awaitable<void>
+auto BatchStore::waitForChange(std::string id, base::TimePoint until) -> asio::awaitable<void>
 {
     const auto timer =
         std::make_shared<asio::steady_timer>(m_context, until - process::clock::now());
-    m_waiters[batchId].push_back(timer);
+    m_waiters[id].push_back(timer);
     co_await timer->async_wait(USE_TUPLE);
-    const auto found = m_waiters.find(batchId);
+    const auto found = m_waiters.find(id);
     if (found == m_waiters.end())
         co_return;
     std::erase(found->second, timer);
@@ -317,9 +314,9 @@
     co_return true;
 }
 
-auto BatchStore::wakeWaiters(const std::string &batchId) -> void
+auto BatchStore::wakeWaiters(const std::string &id) -> void
 {
-    const auto found = m_waiters.find(batchId);
+    const auto found = m_waiters.find(id);
     if (found == m_waiters.end())
         return;
     const auto waiters = std::move(found->second);
--- a/src/app/node/batchstore.h
+++ b/src/app/node/batchstore.h
@@ -17,13 +17,6 @@
 
 namespace nutmegplank::app::node {
 
-//! What the platform's log knows of a batch.
-enum class Presence {
-    Known,
-    Absent, //!< Certainly not in the log as of now.
-    Unsure, //!< The log did not answer.
-};
-
 using SubmissionPtr = std::shared_ptr<const version::batch::Submission>;
 
 //! The batches of all machines: follows their index, writes new ones and ends into the log, and
@@ -53,21 +46,21 @@
     //! Puts a batch into the log.
     auto keep(SubmissionPtr submission) -> boost::asio::awaitable<version::journal::AppendResult>;
     //! Puts the end of a batch into the log.
-    auto end(std::string batchId) -> boost::asio::awaitable<version::journal::AppendResult>;
+    auto end(std::string batchKey) -> boost::asio::awaitable<version::journal::AppendResult>;
     //! The items of a batch.
-    auto loadSubmission(std::string batchId)
+    auto loadSubmission(std::string batchKey)
         -> boost::asio::awaitable<absl::StatusOr<SubmissionPtr>>;
     //! What earlier holders of the lease have kept of unfinished items; empty when it can't be
     //! read.
-    auto loadProgress(std::string batchId)
+    auto loadProgress(std::string batchKey)
         -> boost::asio::awaitable<std::vector<version::batch::Progress>>;
     //! Results from \a position on, about \a mostBytes of text at most, one at least.
-    auto loadResults(std::string batchId, std::uint64_t position, std::size_t mostBytes)
+    auto loadResults(std::string batchKey, std::uint64_t position, std::size_t mostBytes)
         -> boost::asio::awaitable<absl::StatusOr<std::vector<version::batch::Result>>>;
-    //! Whether the log holds the batch, by a read of its own if it is not known here.
-    auto look(std::string batchId) -> boost::asio::awaitable<Presence>;
-    //! Returns when something about the batch has changed, or at \a until.
-    auto waitForChange(std::string batchId, base::TimePoint until) -> boost::asio::awaitable<void>;
+    //! Reads everything that is in the log by now; returns false if that is not known to be done.
+    auto readToEnd() -> boost::asio::awaitable<bool>;
+    //! Returns when something about a batch with the id \a id has changed, or at \a until.
+    auto waitForChange(std::string id, base::TimePoint until) -> boost::asio::awaitable<void>;
     //! Returns once everything before \a offset has been read, or false at \a until.
     auto waitForPosition(std::uint64_t offset, base::TimePoint until)
         -> boost::asio::awaitable<bool>;
@@ -90,8 +83,8 @@
         auto holds(const version::batch::BulkPlace &place) const -> bool;
     };
 
-    auto wakeWaiters(const std::string &batchId) -> void;
-    auto storeBulk(const std::string &batchId, std::vector<std::string> records)
+    auto wakeWaiters(const std::string &id) -> void;
+    auto storeBulk(const std::string &batchKey, std::vector<std::string> records)
         -> boost::asio::awaitable<StoredBulk>;
     auto loadRecord(CachedPage &cached, version::batch::BulkPlace place)
         -> boost::asio::awaitable<absl::StatusOr<const version::journal::Record *>>;
@@ -105,7 +98,7 @@
     version::batch::BatchLogHooks m_hooks;
     version::batch::BatchLog m_log;
     version::journal::Follower m_follower;
-    std::map<std::string, std::vector<Waiter>> m_waiters; //!< By batch.
+    std::map<std::string, std::vector<Waiter>> m_waiters; //!< By the batch's id.
     std::deque<SubmissionPtr> m_recent;                   //!< Read or stored lately, newest first.
     process::metrics::Counter &m_accepted;
     process::metrics::Counter &m_bulkReads;
--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -10,6 +10,7 @@
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
 #include "request/forward/answerroom.h"
+#include "version/batch/batchaccess.h"
 
 namespace nutmegplank::app::node {
 
@@ -21,7 +22,9 @@
 using request::call::CallKind;
 using request::call::Refusal;
 using request::call::RefusalCode;
+using version::batch::AccessOutcome;
 using version::journal::AppendOutcome;
+using version::routing::OwnerKind;
 using version::routing::RouteKind;
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
@@ -136,16 +139,18 @@
     const auto took = process::clock::now() - exchange.receivedAt;
     m_seconds.record(took);
     (status < FIRST_ERROR ? m_answered : m_refused).add();
-    logging::info("call.answered",
-                  { { "request", exchange.call.requestId },
-                    { "kind", base::nameOf(request::call::CALL_KIND_NAMES, exchange.call.kind) },
-                    { "workspace", exchange.workspace },
-                    { "status", status },
-                    { "outcome", outcome },
-                    { "server", server },
-                    { "attempts", attempts },
-                    { "configuration", exchange.table == nullptr ? 0 : exchange.table->version },
-                    { "took_ms", base::toMilliseconds(took) } });
+    logging::info(
+        "call.answered",
+        { { "request", exchange.call.requestId },
+          { "kind", base::nameOf(request::call::CALL_KIND_NAMES, exchange.call.kind) },
+          { "caller", base::nameOf(version::routing::OWNER_KIND_NAMES, exchange.caller.kind) },
+          { "workspace", exchange.caller.workspace },
+          { "status", status },
+          { "outcome", outcome },
+          { "server", server },
+          { "attempts", attempts },
+          { "configuration", exchange.table == nullptr ? 0 : exchange.table->version },
+          { "took_ms", base::toMilliseconds(took) } });
 }
 
 auto CallService::admit(Exchange &exchange, const version::routing::Route *route) const
@@ -155,13 +160,13 @@
         return Refusal { RefusalCode::NotReady, "no configuration is known yet", START_RETRY };
     if (route != nullptr && !m_parts.serversKnown())
         return Refusal { RefusalCode::NotReady, "no backend servers are known yet", START_RETRY };
-    const auto needsKey = exchange.table->keysNeeded && (route == nullptr || !route->open);
-    if (!needsKey)
-        return std::nullopt;
-    const auto *workspace = exchange.table->findWorkspaceByKey(exchange.call.key);
-    if (workspace == nullptr)
+    auto caller = exchange.table->ownerOf(exchange.call.credential);
+    if (!caller.has_value())
         return Refusal { RefusalCode::UnknownKey, "the key is not known" };
-    exchange.workspace = workspace->name;
+    // Calls on batches have no route: they may come without a key where the batch did.
+    if (caller->kind == OwnerKind::Anonymous && route != nullptr && !route->open)
+        return Refusal { RefusalCode::UnknownKey, "the route needs a key" };
+    exchange.caller = std::move(*caller);
     return std::nullopt;
 }
 
@@ -251,7 +256,7 @@
 {
     auto call = request::forward::ForwardCall();
     call.requestId = exchange.call.requestId;
-    call.workspace = exchange.workspace;
+    call.workspace = exchange.caller.workspace;
     call.route = route;
     call.resumesStream = exchange.call.resumesStream;
     call.streamBegunBy = exchange.call.streamBegunBy;
@@ -301,9 +306,17 @@
     if (!submission.ok())
         co_return refuse(exchange, { RefusalCode::Malformed, base::describe(submission.status()) });
     const auto &id = exchange.call.requestId;
-    if (m_parts.batches.log().find(id) != nullptr)
+    const auto isKept = [this, &exchange, &id] {
+        return isAccepted(m_parts.batches.log(), exchange.caller, id);
+    };
+    if (isKept())
         co_return m_parts.protocol.writeAccepted(id);
-    submission->head.workspace = exchange.workspace;
+    const auto repeats = co_await repeatsUnowned(exchange, *submission);
+    if (!repeats.has_value())
+        co_return refuse(exchange, { RefusalCode::Unknown, "an earlier batch can't be read" });
+    if (*repeats)
+        co_return m_parts.protocol.writeAccepted(id);
+    submission->head.owner = exchange.caller;
     submission->head.configuration = exchange.table->version;
     submission->head.submittedMs = m_parts.trueTime.milliseconds(exchange.receivedAt);
     const auto batch = std::make_shared<const version::batch::Submission>(std::move(*submission));
@@ -337,7 +350,7 @@
             nextRelay = now + (unknown ? RELAY_AFTER_SILENCE : RELAY_AFTER_REFUSAL);
         }
         // What was perhaps kept shows up in the index.
-        if (m_parts.batches.log().find(id) != nullptr)
+        if (isKept())
             co_return m_parts.protocol.writeAccepted(id);
         if (process::clock::now() >= holdUntil || isTooLate(exchange, &route))
             break;
@@ -348,13 +361,29 @@
         co_return refuse(exchange, { RefusalCode::StoreUnavailable, detail, STORE_RETRY });
     // Nothing may be promised before the log has told.
     const auto until = process::clock::now() + LATE_APPEND;
-    while (m_parts.batches.log().find(id) == nullptr && process::clock::now() < until)
+    while (!isKept() && process::clock::now() < until)
         co_await m_parts.batches.waitForChange(id, until);
-    if (m_parts.batches.log().find(id) != nullptr)
+    if (isKept())
         co_return m_parts.protocol.writeAccepted(id);
     co_return refuse(exchange, { RefusalCode::Unknown, detail });
 }
 
+//! Whether \a submission repeats a batch that was accepted before the configuration had workspaces,
+//! as when the answer to it was lost; nullopt if that batch can't be read.
+auto CallService::repeatsUnowned(const Exchange &exchange,
+                                 const version::batch::Submission &submission) const
+    -> asio::awaitable<std::optional<bool>>
+{
+    const auto *earlier =
+        findAcceptedUnowned(m_parts.batches.log(), exchange.caller, exchange.call.requestId);
+    if (earlier == nullptr || earlier->itemCount() != submission.items.size())
+        co_return false;
+    const auto kept = co_await m_parts.batches.loadSubmission(earlier->head.key());
+    if (!kept.ok())
+        co_return std::nullopt;
+    co_return haveSameItems(**kept, submission);
+}
+
 auto CallService::noteKept(const Exchange &exchange,
                            const version::journal::AppendResult &result) const -> void
 {
@@ -370,28 +399,53 @@
 auto CallService::batchCall(const Exchange &exchange) -> asio::awaitable<Answer>
 {
     const auto &id = exchange.call.batchId;
+    const auto &log = m_parts.batches.log();
     m_parts.batches.requestFastRetries(process::clock::now());
-    if (m_parts.batches.log().find(id) == nullptr)
+    auto access = findForCaller(log, exchange.caller, id);
+    if (access.outcome == AccessOutcome::NotFound)
         co_await m_parts.batches.waitForChange(id, process::clock::now() + ARRIVAL_TIME);
-    const auto presence = co_await m_parts.batches.look(id);
-    if (presence == Presence::Unsure)
-        co_return refuse(exchange, { RefusalCode::Unsure, "the log does not answer", STORE_RETRY });
-    const auto *batch = m_parts.batches.log().find(id);
-    if (batch == nullptr || batch->head.workspace != exchange.workspace)
+    access = findForCaller(log, exchange.caller, id);
+    const auto mustRead =
+        access.outcome == AccessOutcome::NotFound || mayBeSuperseded(access, exchange.caller);
+    if (mustRead) {
+        const auto isCertain = co_await hasReadLog(exchange.caller);
+        if (!isCertain)
+            co_return refuse(exchange,
+                             { RefusalCode::Unsure, "the log does not answer", STORE_RETRY });
+        access = findForCaller(log, exchange.caller, id);
+    }
+    if (access.outcome == AccessOutcome::Ambiguous)
+        co_return refuse(exchange,
+                         { RefusalCode::Unsure, "several workspaces have a batch of this id" });
+    // Whether others have a batch of this id is not told.
+    if (access.outcome == AccessOutcome::NotFound && exchange.caller.kind == OwnerKind::Anonymous)
+        co_return refuse(exchange, { RefusalCode::UnknownKey, "the call needs a key" });
+    if (access.outcome == AccessOutcome::NotFound)
         co_return refuse(exchange, { RefusalCode::NoBatch, "no such batch" });
+    const auto key = access.batch->head.key();
     switch (exchange.call.kind) {
     case CallKind::ReadBody:
-        co_return co_await readBody(exchange);
+        co_return co_await readBody(exchange, key);
     case CallKind::EndBatch:
-        co_return co_await endBatch(exchange);
+        co_return co_await endBatch(exchange, key);
     case CallKind::ReadResults:
     case CallKind::Request:
         break;
     }
-    co_return co_await readResults(exchange);
+    co_return co_await readResults(exchange, key);
 }
 
-auto CallService::readResults(const Exchange &exchange) -> asio::awaitable<Answer>
+//! Whether everything has been read that was in the log when \a caller asked. Callers without a
+//! key cause no reads of the log, so that a crowd of them can't use up the machines' calls to it.
+auto CallService::hasReadLog(const version::routing::Owner &caller) -> asio::awaitable<bool>
+{
+    if (caller.kind == OwnerKind::Anonymous)
+        co_return m_parts.batches.current(process::clock::now());
+    co_return co_await m_parts.batches.readToEnd();
+}
+
+auto CallService::readResults(const Exchange &exchange, const std::string &key)
+    -> asio::awaitable<Answer>
 {
     const auto &call = exchange.call;
     const auto wanted = exchange.receivedAt + std::min<base::Duration>(call.wait, LONGEST_WAIT);
@@ -399,11 +453,11 @@
     const auto waitUntil = [&] {
         return m_parts.shutdown.limit(wanted + BATCH_CALL_TIME) - BATCH_CALL_TIME;
     };
-    const auto *batch = m_parts.batches.log().find(call.batchId);
+    const auto *batch = m_parts.batches.log().find(key);
     while (batch != nullptr && batch->listedCount <= call.position
            && process::clock::now() < waitUntil()) {
         co_await m_parts.batches.waitForChange(call.batchId, waitUntil());
-        batch = m_parts.batches.log().find(call.batchId);
+        batch = m_parts.batches.log().find(key);
     }
     if (batch == nullptr)
         co_return refuse(exchange, { RefusalCode::Unsure, "the batch was dropped" });
@@ -414,18 +468,19 @@
         && !m_parts.batches.current(process::clock::now()))
         co_return refuse(exchange,
                          { RefusalCode::Unsure, "the log is not read to its end", STORE_RETRY });
-    auto results = co_await m_parts.batches.loadResults(call.batchId, call.position,
-                                                        m_parts.protocol.maxResultBytes());
+    auto results =
+        co_await m_parts.batches.loadResults(key, call.position, m_parts.protocol.maxResultBytes());
     if (!results.ok())
         co_return refuse(exchange,
                          { RefusalCode::Unsure, base::describe(results.status()), STORE_RETRY });
     co_return m_parts.protocol.writeResults(total, call.position, std::move(*results));
 }
 
-auto CallService::readBody(const Exchange &exchange) -> asio::awaitable<Answer>
+auto CallService::readBody(const Exchange &exchange, const std::string &key)
+    -> asio::awaitable<Answer>
 {
-    auto submission = co_await m_parts.batches.loadSubmission(exchange.call.batchId);
-    const auto *batch = m_parts.batches.log().find(exchange.call.batchId);
+    auto submission = co_await m_parts.batches.loadSubmission(key);
+    const auto *batch = m_parts.batches.log().find(key);
     if (!submission.ok() || batch == nullptr)
         co_return refuse(exchange,
                          { RefusalCode::Unsure, base::describe(submission.status()), STORE_RETRY });
@@ -441,15 +496,16 @@
     co_return answer;
 }
 
-auto CallService::endBatch(const Exchange &exchange) -> asio::awaitable<Answer>
+auto CallService::endBatch(const Exchange &exchange, const std::string &key)
+    -> asio::awaitable<Answer>
 {
-    const auto &id = exchange.call.batchId;
-    if (m_parts.batches.log().find(id)->ended)
+    if (m_parts.batches.log().find(key)->ended)
         co_return http::jsonResponse(STATUS_OK, "{}");
-    const auto result = co_await m_parts.batches.end(id);
+    const auto result = co_await m_parts.batches.end(key);
     logging::info(
         "batch.end_requested",
-        { { "batch", id },
+        { { "batch", exchange.call.batchId },
+          { "workspace", exchange.caller.workspace },
           { "outcome", base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) } });
     if (result.outcome == AppendOutcome::Done)
         co_return http::jsonResponse(STATUS_OK, "{}");
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -50,13 +50,14 @@
     {
         request::call::Call call;
         version::routing::RoutingTablePtr table;
-        std::string workspace;
+        version::routing::Owner caller;
         base::TimePoint receivedAt {};
     };
 
     using Answer = connection::http::Response;
     using HandlePtr = std::shared_ptr<request::forward::ForwardHandle>;
 
+    //! Refuses the call or sets its caller.
     auto admit(Exchange &exchange, const version::routing::Route *route) const
         -> std::optional<request::call::Refusal>;
     //! Whether a stopping process must leave the call to another one.
@@ -72,12 +73,19 @@
     auto submit(const Exchange &exchange, const connection::http::Request &request,
                 const version::routing::Route &route, HandlePtr handle)
         -> boost::asio::awaitable<Answer>;
+    auto repeatsUnowned(const Exchange &exchange,
+                        const version::batch::Submission &submission) const
+        -> boost::asio::awaitable<std::optional<bool>>;
     auto noteKept(const Exchange &exchange, const version::journal::AppendResult &result) const
         -> void;
     auto batchCall(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
-    auto readResults(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
-    auto readBody(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
-    auto endBatch(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
+    auto hasReadLog(const version::routing::Owner &caller) -> boost::asio::awaitable<bool>;
+    auto readResults(const Exchange &exchange, const std::string &key)
+        -> boost::asio::awaitable<Answer>;
+    auto readBody(const Exchange &exchange, const std::string &key)
+        -> boost::asio::awaitable<Answer>;
+    auto endBatch(const Exchange &exchange, const std::string &key)
+        -> boost::asio::awaitable<Answer>;
     auto refuse(const Exchange &exchange, request::call::Refusal refusal) const -> Answer;
     auto noteAnswer(const Exchange &exchange, std::uint32_t status, std::string_view outcome,
                     std::string_view server = {}, std::uint32_t attempts = 0) const -> void;
--- a/src/app/node/conductor.cpp
+++ b/src/app/node/conductor.cpp
@@ -85,9 +85,9 @@
         { [this](const Batch &batch) { openBatch(batch); },
           [this](const Batch &batch) {
               if (!batch.open())
-                  m_executor.endBatch(batch.head.id);
+                  m_executor.endBatch(batch.head.key());
           },
-          [this](const Batch &batch) { m_executor.endBatch(batch.head.id); } });
+          [this](const Batch &batch) { m_executor.endBatch(batch.head.key()); } });
 }
 
 auto Conductor::executorDependencies() -> request::rollout::ExecutorDependencies
@@ -298,14 +298,14 @@
     m_activeFence = fence;
     logging::info("conductor.active", { { "fence", fence }, { "log_end", *end } });
     m_executor.start();
-    for (const auto &[id, batch] : m_parts.batches.log().all())
+    for (const auto &[key, batch] : m_parts.batches.log().all())
         openBatch(*batch);
 }
 
 auto Conductor::openBatch(const Batch &batch) -> void
 {
     if (m_activeFence != 0 && batch.open())
-        asio::co_spawn(m_parts.context, loadBatch(batch.head.id, m_activeFence),
+        asio::co_spawn(m_parts.context, loadBatch(batch.head.key(), m_activeFence),
                        logging::LogTaskFailure("batch.load"));
 }
 
@@ -317,40 +317,41 @@
 }
 
 //! A route that is missing in an older configuration has not been removed: the batch waits.
-auto Conductor::waitForConfigurationOf(std::string batchId, std::uint64_t fence)
+auto Conductor::waitForConfigurationOf(std::string batchKey, std::uint64_t fence)
     -> asio::awaitable<void>
 {
     auto waits = false;
     while (m_activeFence == fence) {
-        const auto *batch = m_parts.batches.log().find(batchId);
+        const auto *batch = m_parts.batches.log().find(batchKey);
         if (batch == nullptr || !batch->open() || knowsConfigurationOf(*batch))
             co_return;
         if (!std::exchange(waits, true))
             logging::info("batch.configuration_awaited",
-                          { { "batch", batchId }, { "configuration", batch->head.configuration } });
+                          { { "batch", version::batch::idOf(batchKey) },
+                            { "configuration", batch->head.configuration } });
         m_parts.readConfigurationNow();
         co_await pauseFor(CONFIGURATION_CHECK);
     }
 }
 
-auto Conductor::loadBatch(std::string batchId, std::uint64_t fence) -> asio::awaitable<void>
+auto Conductor::loadBatch(std::string batchKey, std::uint64_t fence) -> asio::awaitable<void>
 {
     while (m_activeFence == fence) {
-        co_await waitForConfigurationOf(batchId, fence);
-        auto submission = co_await m_parts.batches.loadSubmission(batchId);
-        const auto *batch = m_parts.batches.log().find(batchId);
+        co_await waitForConfigurationOf(batchKey, fence);
+        auto submission = co_await m_parts.batches.loadSubmission(batchKey);
+        const auto *batch = m_parts.batches.log().find(batchKey);
         if (batch == nullptr || !batch->open() || m_activeFence != fence)
             co_return;
         if (submission.ok()) {
-            const auto progress = co_await m_parts.batches.loadProgress(batchId);
-            batch = m_parts.batches.log().find(batchId);
+            const auto progress = co_await m_parts.batches.loadProgress(batchKey);
+            batch = m_parts.batches.log().find(batchKey);
             if (batch != nullptr && m_activeFence == fence)
                 m_executor.addBatch(*batch, *submission, progress);
             co_return;
         }
-        logging::warning(
-            "batch.load_failed",
-            { { "batch", batchId }, { "problem", base::describe(submission.status()) } });
+        logging::warning("batch.load_failed",
+                         { { "batch", version::batch::idOf(batchKey) },
+                           { "problem", base::describe(submission.status()) } });
         if (submission.status().code() == absl::StatusCode::kDataLoss)
             co_return;
         co_await pauseFor(LOAD_RETRY);
--- a/src/app/node/conductor.h
+++ b/src/app/node/conductor.h
@@ -52,7 +52,7 @@
     explicit Conductor(ConductorParts parts);
 
     auto start() -> void;
-    //! A request of \a workspace has begun to run.
+    //! A request of \a workspace has begun to run; empty if it belongs to none.
     auto countRun(const std::string &workspace) -> void { m_usage.countRun(workspace); }
     //! Whether a call under \a fence may be written now, and by when it must have ended.
     auto permitCall(std::uint64_t fence, base::TimePoint now) const
@@ -74,9 +74,9 @@
     auto deactivate(std::string_view reason) -> void;
     auto openBatch(const version::batch::Batch &batch) -> void;
     auto knowsConfigurationOf(const version::batch::Batch &batch) const -> bool;
-    auto waitForConfigurationOf(std::string batchId, std::uint64_t fence)
+    auto waitForConfigurationOf(std::string batchKey, std::uint64_t fence)
         -> boost::asio::awaitable<void>;
-    auto loadBatch(std::string batchId, std::uint64_t fence) -> boost::asio::awaitable<void>;
+    auto loadBatch(std::string batchKey, std::uint64_t fence) -> boost::asio::awaitable<void>;
     auto endCalls() -> boost::asio::awaitable<void>;
     auto checkpointLoop() -> boost::asio::awaitable<void>;
     auto waveHooks() -> version::waves::WaveRunnerHooks;
--- a/src/app/node/resultwriter.cpp
+++ b/src/app/node/resultwriter.cpp
@@ -199,7 +199,7 @@
         m_rejected.add();
         logging::error("results.rejected",
                        { { "step", step },
-                         { "batch", group.batch },
+                         { "batch", batch::idOf(group.batch) },
                          { "item", result.itemId },
                          { "bytes", result.text.size() } });
         m_hooks.onRejected(group.batch, result.item);
@@ -208,7 +208,7 @@
         m_rejected.add();
         logging::warning("results.progress_rejected",
                          { { "step", step },
-                           { "batch", group.batch },
+                           { "batch", batch::idOf(group.batch) },
                            { "item_index", progress.item },
                            { "bytes", progress.text.size() } });
     }
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/json.hpp>
 
 #include "base/base64.h"
@@ -22,11 +23,13 @@
 using request::call::Call;
 using request::call::CallKind;
 using request::call::RefusalCode;
+using version::routing::Credential;
+using version::routing::CredentialKind;
 
 //! "lots" on the wire are batches.
 constexpr auto BATCH_PREFIX = std::string_view("/v1/lots/");
 constexpr auto ITEM_BODY_PREFIX = std::string_view("/v1/items/");
-constexpr auto BEARER_SCHEME = std::string_view("Bearer ");
+constexpr auto BEARER_SCHEME = std::string_view("Bearer");
 //! Stays below the limit of 1 MB of results in a response.
 constexpr auto MAX_RESULT_BYTES = std::size_t(900'000);
 constexpr auto STATUS_OK = 200U;
@@ -66,6 +69,42 @@
     return 503;
 }
 
+auto trimmed(std::string_view text) -> std::string_view
+{
+    constexpr auto BLANKS = std::string_view(" \t");
+    const auto first = text.find_first_not_of(BLANKS);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(BLANKS) - first + 1);
+}
+
+//! Returns the key if \a authorization has the scheme for keys, which compares without case.
+auto bearerKey(std::string_view authorization) -> std::optional<std::string_view>
+{
+    const auto scheme = authorization.substr(0, authorization.find_first_of(" \t"));
+    if (!boost::beast::iequals(scheme, BEARER_SCHEME))
+        return std::nullopt;
+    return trimmed(authorization.substr(scheme.size()));
+}
+
+//! Other schemes are no keys. A key that is empty, or beside a different one, must not pass for
+//! none: the call would run for somebody else than its sender.
+auto readCredential(const http::Headers &headers) -> Credential
+{
+    auto credential = Credential();
+    for (const auto &header : headers) {
+        const auto isAuthorization = boost::beast::iequals(header.name, "Authorization");
+        const auto key = isAuthorization ? bearerKey(header.value) : std::nullopt;
+        if (!key.has_value())
+            continue;
+        const auto isAnother = credential.kind == CredentialKind::Key && credential.key != *key;
+        if (key->empty() || isAnother)
+            return { CredentialKind::Unusable };
+        credential = { CredentialKind::Key, std::string(*key) };
+    }
+    return credential;
+}
+
 auto malformedSubmission(const Call &call, std::string_view what) -> absl::Status
 {
     return base::makeError(absl::StatusCode::kInvalidArgument, what,
@@ -134,9 +173,7 @@
     call.requestId = http::headerValue(request.headers, wireheaders::REQUEST_ID);
     call.host = http::headerValue(request.headers, "Host");
     call.path = std::string(http::pathOf(request.target));
-    const auto authorization = http::headerValue(request.headers, "Authorization");
-    if (authorization.starts_with(BEARER_SCHEME))
-        call.key = authorization.substr(BEARER_SCHEME.size());
+    call.credential = readCredential(request.headers);
     const auto deadline = parseUnsigned(http::headerValue(request.headers, wireheaders::DEADLINE));
     call.timeLeft = std::chrono::milliseconds(deadline.value_or(0));
     const auto wait = parseUnsigned(http::headerValue(request.headers, wireheaders::MAX_WAIT));
--- a/src/platform/operatorrecords.cpp
+++ b/src/platform/operatorrecords.cpp
@@ -134,11 +134,13 @@
 {
     // "tenants" are workspaces.
     const auto *tenants = arrayField(configuration, "tenants");
-    table.keysNeeded = tenants != nullptr;
+    table.hasWorkspaces = tenants != nullptr;
     for (const auto &value : tenants == nullptr ? json::array() : *tenants) {
         const auto *tenant = value.if_object();
         const auto name = tenant == nullptr ? std::nullopt : stringField(*tenant, "name");
-        const auto *keys = name.has_value() ? arrayField(*tenant, "api_keys") : nullptr;
+        // Without a name, its batches and requests could not be told from those of nobody.
+        const auto isNamed = name.has_value() && !name->empty();
+        const auto *keys = isNamed ? arrayField(*tenant, "api_keys") : nullptr;
         if (keys == nullptr)
             continue;
         auto workspace = version::routing::Workspace { *name, std::nullopt };
--- a/src/platform/tests/callprotocol_tests.cpp
+++ b/src/platform/tests/callprotocol_tests.cpp
@@ -33,7 +33,8 @@
     EXPECT_EQ(read.batchId, "b1");
     EXPECT_EQ(read.position, 12U);
     EXPECT_EQ(read.wait, 1000ms);
-    EXPECT_EQ(read.key, "secret");
+    EXPECT_EQ(read.credential.kind, version::routing::CredentialKind::Key);
+    EXPECT_EQ(read.credential.key, "secret");
     const auto body = protocol.readCall(makeRequest("GET", "/v1/items/b1?id=i7"));
     EXPECT_EQ(body.kind, CallKind::ReadBody);
     EXPECT_EQ(body.itemId, "i7");
@@ -133,6 +134,43 @@
     EXPECT_EQ(headerValue(forwarded.headers, "X-Request-Id"), "r1");
 }
 
+//! Whatever is no single key must not pass for none on routes that need none.
+TEST(CallProtocol, CallProtocol_Credential_IsTheOnlyKey)
+{
+    using version::routing::CredentialKind;
+    struct Case
+    {
+        std::vector<std::string> authorization;
+        CredentialKind kind;
+        std::string key;
+    };
+    const auto cases = std::vector<Case> {
+        { {}, CredentialKind::None, "" },
+        { { "" }, CredentialKind::None, "" },
+        { { "Basic YTpi" }, CredentialKind::None, "" },
+        { { "Bearers k" }, CredentialKind::None, "" },
+        { { "Bearer k" }, CredentialKind::Key, "k" },
+        { { "bEARER \t k " }, CredentialKind::Key, "k" },
+        { { "Basic YTpi", "Bearer k" }, CredentialKind::Key, "k" },
+        { { "Bearer k", "Bearer k" }, CredentialKind::Key, "k" },
+        { { "Bearer k, Bearer j" }, CredentialKind::Key, "k, Bearer j" },
+        { { "Bearer" }, CredentialKind::Unusable, "" },
+        { { "Bearer  " }, CredentialKind::Unusable, "" },
+        { { "Bearer k", "Bearer j" }, CredentialKind::Unusable, "" },
+        { { "Bearer k", "Bearer" }, CredentialKind::Unusable, "" },
+    };
+    for (const auto &expected : cases) {
+        auto request = makeRequest("POST", "/p/1");
+        connection::http::removeHeader(request.headers, "Authorization");
+        for (const auto &value : expected.authorization)
+            request.headers.push_back({ "authorization", value });
+        const auto credential = CallProtocol().readCall(request).credential;
+        const auto name = expected.authorization.empty() ? "none" : expected.authorization.back();
+        EXPECT_EQ(credential.kind, expected.kind) << name;
+        EXPECT_EQ(credential.key, expected.key) << name;
+    }
+}
+
 TEST(CallProtocol, CallProtocol_Refusal_CarriesRetryAfter)
 {
     const auto response = CallProtocol().writeRefusal(
--- a/src/platform/tests/operatorrecords_tests.cpp
+++ b/src/platform/tests/operatorrecords_tests.cpp
@@ -44,6 +44,24 @@
     EXPECT_EQ((*table)->findWorkspaceByKey("k2")->name, "cafe");
 }
 
+//! A configuration without tenants tells no callers apart; one with an empty list knows no key.
+//! What belonged to a tenant without a name could not be told from what belongs to nobody.
+TEST(OperatorRecords, OperatorRecords_Tenants_AreNoneOrNamed)
+{
+    using version::routing::Credential;
+    using version::routing::CredentialKind;
+    using version::routing::OwnerKind;
+    const auto read = [](const std::string &tenants) {
+        const auto value = R"({"version":1,"routes":[],"services":[])" + tenants + "}";
+        return *readConfiguration({ "config", value, 41 });
+    };
+    const auto credential = Credential { CredentialKind::Key, "k1" };
+    EXPECT_EQ(read("")->ownerOf(credential)->kind, OwnerKind::Shared);
+    EXPECT_FALSE(read(R"(,"tenants":[])")->ownerOf(credential).has_value());
+    const auto unnamed = read(R"(,"tenants":[{"name":"","api_keys":["k1"]},{"api_keys":["k1"]}])");
+    EXPECT_FALSE(unnamed->ownerOf(credential).has_value());
+}
+
 TEST(OperatorRecords, OperatorRecords_UnknownRouteKind_IsUnsafe)
 {
     const auto table = readConfiguration({ "config", CONFIGURATION, 41 });
--- a/src/request/call/call.h
+++ b/src/request/call/call.h
@@ -8,6 +8,7 @@
 #include "base/timepoint.h"
 #include "connection/http/message.h"
 #include "version/batch/batch.h"
+#include "version/routing/credential.h"
 
 //! Calls and responses of the public API, independent of their wire format.
 namespace nutmegplank::request::call {
@@ -31,8 +32,8 @@
     CallKind kind = CallKind::Request;
     std::string requestId;
     std::string host;
-    std::string path;              //!< Without the query string.
-    std::string key;               //!< API key as sent by the caller; must not be logged.
+    std::string path; //!< Without the query string.
+    version::routing::Credential credential;
     base::Duration timeLeft { 0 }; //!< How long the caller waits; 0 if it sets no limit.
     bool resumesStream = false;    //!< Takes up a stream after its last event.
     std::string streamBegunBy;     //!< Request id of the attempt that began it; empty if not named.
@@ -90,7 +91,7 @@
     virtual ~ICallProtocol() = default;
 
     virtual auto readCall(const connection::http::Request &request) const -> Call = 0;
-    //! Parses the batch in \a body; does not set its workspace and submission time. Fails if the
+    //! Parses the batch in \a body; does not set its owner and submission time. Fails if the
     //! body is malformed.
     virtual auto readSubmission(const Call &call, const std::string &body) const
         -> absl::StatusOr<version::batch::Submission> = 0;
--- a/src/request/rollout/itemrequest.cpp
+++ b/src/request/rollout/itemrequest.cpp
@@ -27,7 +27,7 @@
     request.body = source.body;
     auto envelope = serverprotocol::Envelope();
     envelope.serverId = engine.id;
-    envelope.workspace = head.workspace;
+    envelope.workspace = head.owner.workspace;
     envelope.timeLeft = std::chrono::milliseconds(batch.expiresAtMs - wallClockMs);
     envelope.urgency = expectedRemainingTokens(batch, index) >= LONG_OUTPUT_TOKENS
         ? LONG_OUTPUT_URGENCY
--- a/src/request/rollout/openbatch.h
+++ b/src/request/rollout/openbatch.h
@@ -51,7 +51,7 @@
 //! A batch whose items are being run.
 struct OpenBatch
 {
-    std::string id;
+    std::string key; //!< As of version::batch::makeBatchKey.
     SubmissionPtr submission;
     std::vector<OpenItem> items;
     std::vector<std::uint32_t> unfinishedInGroup; //!< Items without a result, by group.
@@ -64,7 +64,7 @@
 //! removed while a run is in progress.
 struct ItemKey
 {
-    std::string batch;
+    std::string batch;    //!< Key of the batch.
     std::size_t item = 0; //!< Index into OpenBatch::items.
 };
 
--- a/src/request/rollout/openbatches.cpp
+++ b/src/request/rollout/openbatches.cpp
@@ -10,13 +10,13 @@
     assignGroups(batch);
     const auto resumed = restoreProgress(batch, progress);
     const auto carried = restoreProgress(batch, takeTexts(batch, now));
-    const auto id = batch.id;
-    return { m_batches.emplace(id, std::move(batch)).first->second, resumed, carried };
+    const auto key = batch.key;
+    return { m_batches.emplace(key, std::move(batch)).first->second, resumed, carried };
 }
 
-auto OpenBatches::remove(const std::string &id, base::TimePoint now) -> void
+auto OpenBatches::remove(const std::string &key, base::TimePoint now) -> void
 {
-    const auto found = m_batches.find(id);
+    const auto found = m_batches.find(key);
     if (found == m_batches.end())
         return;
     keepTexts(found->second, now);
@@ -35,7 +35,7 @@
     for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
         const auto &item = batch.items[index];
         if (item.state != ItemState::Done)
-            m_carriedTexts.keep(submission.head.workspace, submission.items[index],
+            m_carriedTexts.keep(submission.head.owner.workspace, submission.items[index],
                                 progressOf(batch, index), now);
     }
 }
@@ -50,7 +50,7 @@
         if (item.state == ItemState::Done)
             continue;
         const auto singleVersion = item.route != nullptr && item.route->singleVersion;
-        auto text = m_carriedTexts.take(submission.head.workspace, submission.items[index],
+        auto text = m_carriedTexts.take(submission.head.owner.workspace, submission.items[index],
                                         submission.head.minVersion, singleVersion, now);
         if (!text.has_value())
             continue;
--- a/src/request/rollout/openbatches.h
+++ b/src/request/rollout/openbatches.h
@@ -10,7 +10,7 @@
 
 namespace nutmegplank::request::rollout {
 
-//! The batches whose items are being run, by id, and the texts that ended batches leave to later
+//! The batches whose items are being run, by key, and the texts that ended batches leave to later
 //! ones. Not thread-safe.
 class OpenBatches
 {
@@ -33,10 +33,10 @@
              base::TimePoint now) -> Added;
     //! Removes a batch that has ended; later batches may continue the texts of its unfinished
     //! items.
-    auto remove(const std::string &id, base::TimePoint now) -> void;
+    auto remove(const std::string &key, base::TimePoint now) -> void;
     auto clear() -> void;
 
-    //! The progress of unfinished items by batch id. An item is included only if it has at least
+    //! The progress of unfinished items by batch key. An item is included only if it has at least
     //! \a minNewEvents events more than when it was last returned, or if its text has been
     //! completed since then.
     auto collectProgress(std::uint32_t minNewEvents)
--- a/src/request/rollout/placementlog.cpp
+++ b/src/request/rollout/placementlog.cpp
@@ -12,7 +12,7 @@
     const auto endMs =
         predictedEnd == base::TimePoint() ? 0 : base::toMilliseconds(predictedEnd - now);
     process::logging::info("rollout.placed",
-                           { { "batch", batch.id },
+                           { { "batch", batch.submission->head.id },
                              { "item", batch.submission->items[index].id },
                              { "server", engine.id },
                              { "software", engine.confirmedSoftware() },
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -130,14 +130,14 @@
                                const std::vector<version::batch::Progress> &progress) -> void
 {
     const auto &head = batch.head;
-    if (!m_active || !batch.open() || m_batches.all().contains(head.id))
+    if (!m_active || !batch.open() || m_batches.all().contains(head.key()))
         return;
     const auto table = m_dependencies.routing();
     const auto *route = table == nullptr ? nullptr : table->findRoute(head.host, head.path);
     const auto defaultRoute = version::routing::Route();
     const auto &routeSettings = route == nullptr ? defaultRoute : *route;
     auto openBatch = OpenBatch();
-    openBatch.id = head.id;
+    openBatch.key = head.key();
     openBatch.submission = std::move(items);
     const auto age = std::chrono::milliseconds(m_dependencies.wallClockMs() - head.submittedMs);
     openBatch.dueAt = m_dependencies.now() + routeSettings.resultDeadline - age;
@@ -158,6 +158,7 @@
     const auto added = m_batches.add(std::move(openBatch), progress, m_dependencies.now());
     logging::info("rollout.batch_opened",
                   { { "batch", head.id },
+                    { "workspace", head.owner.workspace },
                     { "model", head.model },
                     { "step", head.step },
                     { "min_version", head.minVersion },
@@ -173,9 +174,9 @@
     wake();
 }
 
-auto RolloutExecutor::endBatch(const std::string &id) -> void
+auto RolloutExecutor::endBatch(const std::string &batchKey) -> void
 {
-    const auto found = m_batches.all().find(id);
+    const auto found = m_batches.all().find(batchKey);
     if (found == m_batches.all().end())
         return;
     auto running = std::size_t(0);
@@ -190,12 +191,12 @@
     }
     logging::info(
         "rollout.batch_closed",
-        { { "batch", id },
+        { { "batch", version::batch::idOf(batchKey) },
           { "running", running },
           { "waiting", waiting },
           { "late_ms", base::toMilliseconds(m_dependencies.now() - found->second.dueAt) } });
-    m_scoring.cancelBatch(id);
-    m_batches.remove(id, m_dependencies.now());
+    m_scoring.cancelBatch(batchKey);
+    m_batches.remove(batchKey, m_dependencies.now());
     wake();
 }
 
@@ -263,7 +264,7 @@
         m_moveGain.record(move.endHere - move.endAtTarget);
         const auto &batch = m_batches.all().at(move.key.batch);
         logging::info("rollout.moved",
-                      { { "batch", batch.id },
+                      { { "batch", batch.submission->head.id },
                         { "item", batch.submission->items[move.key.item].id },
                         { "from", move.from },
                         { "to", move.to },
@@ -407,7 +408,7 @@
     if (item.state == ItemState::Scoring)
         item.state = ItemState::Waiting;
     if (item.savedEvents > 0)
-        m_dependencies.onDiscarded(batch.id, progressOf(batch, index));
+        m_dependencies.onDiscarded(batch.key, progressOf(batch, index));
     item.savedEvents = 0;
     item.savedComplete = false;
 }
@@ -438,7 +439,7 @@
         auto &batch = m_batches.all().at(keys[handle].batch);
         auto &item = batch.items[keys[handle].item];
         logging::warning("rollout.text_over_budget",
-                         { { "batch", batch.id },
+                         { { "batch", batch.submission->head.id },
                            { "item", batch.submission->items[keys[handle].item].id },
                            { "bytes", item.transcript->text().size() },
                            { "all_bytes", total },
@@ -453,9 +454,9 @@
     }
 }
 
-auto RolloutExecutor::reopenItem(const std::string &batchId, std::size_t index) -> void
+auto RolloutExecutor::reopenItem(const std::string &batchKey, std::size_t index) -> void
 {
-    const auto found = m_batches.all().find(batchId);
+    const auto found = m_batches.all().find(batchKey);
     if (!m_active || found == m_batches.all().end())
         return;
     auto &batch = found->second;
@@ -472,7 +473,8 @@
     item.score.clear();
     discardText(batch, index);
     logging::warning("rollout.item_reopened",
-                     { { "batch", batchId }, { "item", batch.submission->items[index].id } });
+                     { { "batch", version::batch::idOf(batchKey) },
+                       { "item", batch.submission->items[index].id } });
 }
 
 auto RolloutExecutor::scoringDependencies() -> scoring::ScoringDependencies
@@ -501,7 +503,7 @@
 {
     const auto &source = batch.submission->items[index];
     batch.items[index].state = ItemState::Scoring;
-    m_scoring.add({ batch.id, index }, { *source.scorer, source.id, batch.dueAt });
+    m_scoring.add({ batch.key, index }, { *source.scorer, source.id, batch.dueAt });
 }
 
 auto RolloutExecutor::applyScore(const scoring::ScoringKey &key, std::string score) -> void
@@ -521,7 +523,7 @@
                                  std::string_view reason) -> void
 {
     auto &item = batch.items[index];
-    m_scoring.cancel({ batch.id, index });
+    m_scoring.cancel({ batch.key, index });
     item.state = ItemState::Done;
     --batch.unfinishedInGroup[item.group];
     auto result = version::batch::Result();
@@ -536,12 +538,12 @@
     (lost ? m_lostItems : m_completed).add();
     if (lost)
         logging::warning("rollout.item_lost",
-                         { { "batch", batch.id },
+                         { { "batch", batch.submission->head.id },
                            { "item", batch.submission->items[index].id },
                            { "reason", reason },
                            { "failures", item.failureCounts.engineFailures },
                            { "connection_losses", item.failureCounts.connectionLosses } });
-    m_dependencies.onFinished(batch.id, std::move(result));
+    m_dependencies.onFinished(batch.key, std::move(result));
     item.transcript->reset();
 }
 
--- a/src/request/rollout/rolloutexecutor.h
+++ b/src/request/rollout/rolloutexecutor.h
@@ -70,9 +70,9 @@
     {
         return m_batches.collectProgress(minNewEvents);
     }
-    auto endBatch(const std::string &id) -> void;
+    auto endBatch(const std::string &batchKey) -> void;
     //! Runs a finished item again whose result the log does not take.
-    auto reopenItem(const std::string &batch, std::size_t index) -> void;
+    auto reopenItem(const std::string &batchKey, std::size_t index) -> void;
     //! Runs the next tick immediately, e.g. after a change of a server, a free slot or a version.
     auto wake() -> void;
 
--- a/src/request/rollout/strandedtexts.cpp
+++ b/src/request/rollout/strandedtexts.cpp
@@ -8,7 +8,7 @@
 auto discardStrandedTexts(OpenBatches &batches, const std::vector<EngineLoad> &engines,
                           base::TimePoint now) -> void
 {
-    for (auto &[id, batch] : batches.all()) {
+    for (auto &[key, batch] : batches.all()) {
         for (auto index = std::size_t(0); index < batch.items.size(); ++index) {
             auto &item = batch.items[index];
             if (item.state != ItemState::Waiting || item.transcript->empty())
@@ -18,7 +18,7 @@
             if (reason.empty())
                 continue;
             process::logging::info("rollout.text_discarded",
-                                   { { "batch", id },
+                                   { { "batch", batch.submission->head.id },
                                      { "item", batch.submission->items[index].id },
                                      { "begun_at", item.transcript->software() },
                                      { "events", item.transcript->eventCount() },
--- a/src/request/serverprotocol/iserverprotocol.h
+++ b/src/request/serverprotocol/iserverprotocol.h
@@ -13,7 +13,7 @@
 struct Envelope
 {
     std::string serverId;                 //!< Any other server at the address refuses the request.
-    std::string workspace;                //!< Empty on routes without API keys.
+    std::string workspace;                //!< Empty if the request belongs to none.
     base::Duration timeLeft;              //!< The server stops working on it after this time.
     std::optional<std::uint32_t> urgency; //!< 0 is the most urgent; engines only.
     std::optional<std::uint64_t> lastEvent;     //!< Id of the event after which to resume.
--- a/src/version/batch/batch.h
+++ b/src/version/batch/batch.h
@@ -7,6 +7,8 @@
 
 #include "base/timepoint.h"
 #include "connection/http/message.h"
+#include "version/batch/batchkey.h"
+#include "version/routing/owner.h"
 
 //! Batches of rollout items. Every machine follows their small index; request bodies and generated
 //! texts are stored in bulk partitions and read on demand.
@@ -39,10 +41,10 @@
 //! Metadata of a batch.
 struct BatchHead
 {
-    std::string id;
+    std::string id; //!< Chosen by the caller.
     std::string host;
     std::string path;
-    std::string workspace;
+    routing::Owner owner;
     std::string model;
     std::uint64_t minVersion = 0; //!< Oldest version of the weights allowed to generate its tokens.
     std::uint32_t step = 0;
@@ -50,6 +52,8 @@
     std::int64_t submittedMs = 0; //!< UTC milliseconds since the Unix epoch, from TrueTime.
     //! Version of the configuration under which it was accepted; 0 if not known.
     std::uint64_t configuration = 0;
+
+    auto key() const -> std::string { return makeBatchKey(owner.workspace, id); }
 };
 
 //! A batch as submitted by a caller.
--- a/src/version/batch/batchcodec.h
+++ b/src/version/batch/batchcodec.h
@@ -14,18 +14,18 @@
 auto encodeSubmission(const Submission &submission, const std::string &attempt,
                       std::size_t recordBytes) -> std::vector<std::string>;
 //! Encodes results of one batch as a bulk record.
-auto encodeResults(const std::string &batchId, const std::vector<Result> &results) -> std::string;
+auto encodeResults(const std::string &batchKey, const std::vector<Result> &results) -> std::string;
 
 //! Encodes the progress of unfinished items of one batch as a bulk record.
-auto encodeProgress(const std::string &batchId, const std::vector<Progress> &items) -> std::string;
+auto encodeProgress(const std::string &batchKey, const std::vector<Progress> &items) -> std::string;
 
 //! Encodes an index record; so do the three functions that follow.
 auto encodeAccepted(const Submission &submission, const BulkPlace &place,
                     const std::string &attempt) -> std::string;
-auto encodeListed(const std::string &batchId, const BulkPlace &place,
+auto encodeListed(const std::string &batchKey, const BulkPlace &place,
                   const std::vector<Result> &results) -> std::string;
-auto encodeListedProgress(const std::string &batchId, const BulkPlace &place) -> std::string;
-auto encodeEnd(const std::string &batchId) -> std::string;
+auto encodeListedProgress(const std::string &batchKey, const BulkPlace &place) -> std::string;
+auto encodeEnd(const std::string &batchKey) -> std::string;
 
 //! Reassembles a submission from its parts as they are read.
 class SubmissionAssembler
@@ -49,12 +49,15 @@
     std::size_t m_present = 0;
 };
 
-//! Returns the results in a bulk record, or nullopt if it has none of \a batchId.
-auto decodeResults(const std::string &data, const std::string &batchId)
+//! Returns the owner that a record names.
+auto readOwner(const std::string &workspace, bool shared) -> routing::Owner;
+
+//! Returns the results in a bulk record, or nullopt if it has none of the batch.
+auto decodeResults(const std::string &data, const std::string &batchKey)
     -> std::optional<std::vector<Result>>;
 
-//! Returns the progress in a bulk record, or nullopt if it has none of \a batchId.
-auto decodeProgress(const std::string &data, const std::string &batchId)
+//! Returns the progress in a bulk record, or nullopt if it has none of the batch.
+auto decodeProgress(const std::string &data, const std::string &batchKey)
     -> std::optional<std::vector<Progress>>;
 
 } // namespace nutmegplank::version::batch
--- a/src/version/batch/batchlog.h
+++ b/src/version/batch/batchlog.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "version/batch/batch.h"
 #include "version/journal/ijournal.h"
@@ -32,7 +33,10 @@
 
     auto apply(const journal::Record &record) -> void;
     //! Returns null if the batch is unknown.
-    auto find(const std::string &id) const -> const Batch *;
+    auto find(const std::string &key) const -> const Batch *;
+    //! Returns the batches of all workspaces that have the id \a id.
+    auto findById(const std::string &id) const -> std::vector<const Batch *>;
+    //! By key.
     auto all() const -> const std::map<std::string, std::unique_ptr<Batch>> & { return m_batches; }
     //! Removes batches that are no longer open and were submitted before \a submittedBeforeMs (UTC
     //! milliseconds since the Unix epoch, from TrueTime).
@@ -42,7 +46,9 @@
     auto accept(const record::BatchAccepted &accepted) -> void;
     auto addResults(const record::ListedResults &listed) -> void;
     auto addProgress(const record::ListedProgress &progress) -> void;
-    auto end(const std::string &id) -> void;
+    auto end(const record::BatchEnd &record) -> void;
+    //! Returns the batch that an index record names, or null.
+    auto named(const std::string &workspace, const std::string &id) -> Batch *;
 
     BatchLogHooks m_hooks;
     std::map<std::string, std::unique_ptr<Batch>> m_batches;
--- a/src/version/batch/bulkpartitions.h
+++ b/src/version/batch/bulkpartitions.h
@@ -14,9 +14,9 @@
 class BulkPartitions
 {
 public:
-    //! Returns one of \a count partitions, by default the one that \a batchId hashes to, so that
+    //! Returns one of \a count partitions, by default the one that \a batchKey hashes to, so that
     //! records that are read together are stored together.
-    auto choose(const std::string &batchId, std::uint32_t count, base::TimePoint now) const
+    auto choose(const std::string &batchKey, std::uint32_t count, base::TimePoint now) const
         -> std::uint32_t;
     auto noteStored(std::uint32_t partition) -> void { m_skipUntil.erase(partition); }
     auto noteFailed(std::uint32_t partition, base::TimePoint now) -> void;
--- a/src/version/batch/internal/batchcodec.cpp
+++ b/src/version/batch/internal/batchcodec.cpp
@@ -17,7 +17,8 @@
     message.set_id(head.id);
     message.set_host(head.host);
     message.set_path(head.path);
-    message.set_workspace(head.workspace);
+    message.set_workspace(head.owner.workspace);
+    message.set_shared(head.owner.kind == routing::OwnerKind::Shared);
     message.set_model(head.model);
     message.set_min_version(head.minVersion);
     message.set_step(head.step);
@@ -69,6 +70,13 @@
 
 } // namespace
 
+auto readOwner(const std::string &workspace, bool shared) -> routing::Owner
+{
+    if (!workspace.empty())
+        return routing::workspaceOwner(workspace);
+    return { shared ? routing::OwnerKind::Shared : routing::OwnerKind::Anonymous };
+}
+
 auto encodeSubmission(const Submission &submission, const std::string &attempt,
                       std::size_t recordBytes) -> std::vector<std::string>
 {
@@ -91,11 +99,11 @@
     return records;
 }
 
-auto encodeResults(const std::string &batchId, const std::vector<Result> &results) -> std::string
+auto encodeResults(const std::string &batchKey, const std::vector<Result> &results) -> std::string
 {
     auto message = record::BulkRecord();
     auto &list = *message.mutable_results();
-    list.set_batch_id(batchId);
+    list.set_batch_id(idOf(batchKey));
     for (const auto &result : results) {
         auto &added = *list.add_results();
         added.set_item_id(result.itemId);
@@ -108,11 +116,11 @@
     return message.SerializeAsString();
 }
 
-auto encodeProgress(const std::string &batchId, const std::vector<Progress> &items) -> std::string
+auto encodeProgress(const std::string &batchKey, const std::vector<Progress> &items) -> std::string
 {
     auto message = record::BulkRecord();
     auto &stored = *message.mutable_progress();
-    stored.set_batch_id(batchId);
+    stored.set_batch_id(idOf(batchKey));
     for (const auto &progress : items) {
         auto &added = *stored.add_items();
         added.set_item(progress.item);
@@ -127,12 +135,14 @@
     return message.SerializeAsString();
 }
 
-auto encodeListedProgress(const std::string &batchId, const BulkPlace &place) -> std::string
+auto encodeListedProgress(const std::string &batchKey, const BulkPlace &place) -> std::string
 {
     auto message = record::IndexRecord();
-    message.mutable_progress()->set_batch_id(batchId);
-    message.mutable_progress()->set_bulk_partition(place.partition);
-    message.mutable_progress()->set_bulk_offset(place.offset);
+    auto &progress = *message.mutable_progress();
+    progress.set_batch_id(idOf(batchKey));
+    progress.set_workspace(workspaceOf(batchKey));
+    progress.set_bulk_partition(place.partition);
+    progress.set_bulk_offset(place.offset);
     return message.SerializeAsString();
 }
 
@@ -145,7 +155,8 @@
     accepted.set_id(head.id);
     accepted.set_host(head.host);
     accepted.set_path(head.path);
-    accepted.set_workspace(head.workspace);
+    accepted.set_workspace(head.owner.workspace);
+    accepted.set_shared(head.owner.kind == routing::OwnerKind::Shared);
     accepted.set_model(head.model);
     accepted.set_min_version(head.minVersion);
     accepted.set_step(head.step);
@@ -159,12 +170,13 @@
     return message.SerializeAsString();
 }
 
-auto encodeListed(const std::string &batchId, const BulkPlace &place,
+auto encodeListed(const std::string &batchKey, const BulkPlace &place,
                   const std::vector<Result> &results) -> std::string
 {
     auto message = record::IndexRecord();
     auto &listed = *message.mutable_listed();
-    listed.set_batch_id(batchId);
+    listed.set_batch_id(idOf(batchKey));
+    listed.set_workspace(workspaceOf(batchKey));
     listed.set_bulk_partition(place.partition);
     listed.set_bulk_offset(place.offset);
     for (const auto &result : results)
@@ -172,10 +184,11 @@
     return message.SerializeAsString();
 }
 
-auto encodeEnd(const std::string &batchId) -> std::string
+auto encodeEnd(const std::string &batchKey) -> std::string
 {
     auto message = record::IndexRecord();
-    message.mutable_end()->set_batch_id(batchId);
+    message.mutable_end()->set_batch_id(idOf(batchKey));
+    message.mutable_end()->set_workspace(workspaceOf(batchKey));
     return message.SerializeAsString();
 }
 
@@ -208,7 +221,7 @@
     head.id = message.id();
     head.host = message.host();
     head.path = message.path();
-    head.workspace = message.workspace();
+    head.owner = readOwner(message.workspace(), message.shared());
     head.model = message.model();
     head.minVersion = message.min_version();
     head.step = message.step();
@@ -220,12 +233,12 @@
     return submission;
 }
 
-auto decodeResults(const std::string &data, const std::string &batchId)
+auto decodeResults(const std::string &data, const std::string &batchKey)
     -> std::optional<std::vector<Result>>
 {
     auto message = record::BulkRecord();
     if (!message.ParseFromString(data) || !message.has_results()
-        || message.results().batch_id() != batchId)
+        || message.results().batch_id() != idOf(batchKey))
         return std::nullopt;
     auto results = std::vector<Result>();
     for (auto &stored : *message.mutable_results()->mutable_results()) {
@@ -239,12 +252,12 @@
     return results;
 }
 
-auto decodeProgress(const std::string &data, const std::string &batchId)
+auto decodeProgress(const std::string &data, const std::string &batchKey)
     -> std::optional<std::vector<Progress>>
 {
     auto message = record::BulkRecord();
     if (!message.ParseFromString(data) || !message.has_progress()
-        || message.progress().batch_id() != batchId)
+        || message.progress().batch_id() != idOf(batchKey))
         return std::nullopt;
     auto items = std::vector<Progress>();
     for (const auto &stored : message.progress().items()) {
--- a/src/version/batch/internal/bulkpartitions.cpp
+++ b/src/version/batch/internal/bulkpartitions.cpp
@@ -13,10 +13,10 @@
 
 } // namespace
 
-auto BulkPartitions::choose(const std::string &batchId, std::uint32_t count,
+auto BulkPartitions::choose(const std::string &batchKey, std::uint32_t count,
                             base::TimePoint now) const -> std::uint32_t
 {
-    const auto preferred = static_cast<std::uint32_t>(base::hash64(batchId) % count);
+    const auto preferred = static_cast<std::uint32_t>(base::hash64(batchKey) % count);
     for (auto shift = 0U; shift < count; ++shift) {
         const auto partition = (preferred + shift) % count;
         const auto skipped = m_skipUntil.find(partition);
--- a/src/version/batch/internal/recordsize.cpp
+++ b/src/version/batch/internal/recordsize.cpp
@@ -24,9 +24,9 @@
         + VERSION_BYTES * progress.versions.size();
 }
 
-auto storedBytes(const std::string &batchId) -> std::size_t
+auto storedBytes(const std::string &batchKey) -> std::size_t
 {
-    return ENVELOPE_BYTES + batchId.size();
+    return ENVELOPE_BYTES + batchKey.size();
 }
 
 auto largestText(std::size_t recordBytes, std::size_t idBytes) -> std::size_t
--- a/src/version/batch/recordsize.h
+++ b/src/version/batch/recordsize.h
@@ -10,7 +10,7 @@
 auto storedBytes(const Result &result) -> std::size_t;
 auto storedBytes(const Progress &progress) -> std::size_t;
 //! Of a record without results and progress.
-auto storedBytes(const std::string &batchId) -> std::size_t;
+auto storedBytes(const std::string &batchKey) -> std::size_t;
 //! The largest text that fits a record of \a recordBytes together with ids of \a idBytes.
 auto largestText(std::size_t recordBytes, std::size_t idBytes) -> std::size_t;
 
--- a/src/version/routing/routingtable.cpp
+++ b/src/version/routing/routingtable.cpp
@@ -30,6 +30,20 @@
     return found == workspaces.end() ? nullptr : &found->second;
 }
 
+auto RoutingTable::ownerOf(const Credential &credential) const -> std::optional<Owner>
+{
+    if (!hasWorkspaces)
+        return Owner { OwnerKind::Shared };
+    if (credential.kind == CredentialKind::None)
+        return Owner { OwnerKind::Anonymous };
+    if (credential.kind == CredentialKind::Unusable)
+        return std::nullopt;
+    const auto *workspace = findWorkspaceByKey(credential.key);
+    if (workspace == nullptr)
+        return std::nullopt;
+    return workspaceOwner(workspace->name);
+}
+
 auto pickService(const Route &route, double draw) -> const std::string &
 {
     auto total = 0.0;
--- a/src/version/routing/routingtable.h
+++ b/src/version/routing/routingtable.h
@@ -9,6 +9,8 @@
 
 #include "base/enumtable.h"
 #include "base/timepoint.h"
+#include "version/routing/credential.h"
+#include "version/routing/owner.h"
 
 //! The routing configuration that operators publish: routes, services, workspaces and limits.
 namespace nutmegplank::version::routing {
@@ -106,7 +108,8 @@
     std::vector<Route> routes;
     std::map<std::string, Service> services;
     std::unordered_map<std::string, Workspace> workspaces; //!< By SHA-256 of the caller's key.
-    bool keysNeeded = false; //!< Requests need a key, except on open routes.
+    //! Whether callers are told apart by keys. Requests need one then, except on open routes.
+    bool hasWorkspaces = false;
     CallerLimits limits;
 
     //! Returns the route on \a host whose prefix is the longest that matches \a path, or null.
@@ -114,6 +117,9 @@
     auto findService(const std::string &name) const -> const Service *;
     //! Returns the workspace that \a key belongs to, or null if the key is unknown.
     auto findWorkspaceByKey(std::string_view key) const -> const Workspace *;
+    //! Returns whom a call with \a credential belongs to, on any route, or nullopt if the
+    //! credential belongs to nobody.
+    auto ownerOf(const Credential &credential) const -> std::optional<Owner>;
 };
 
 using RoutingTablePtr = std::shared_ptr<const RoutingTable>;
--- a/src/version/routing/tablecheck.cpp
+++ b/src/version/routing/tablecheck.cpp
@@ -39,7 +39,7 @@
         }
         for (const auto &[name, service] : m_table.services)
             checkService(service);
-        if (m_table.keysNeeded && m_table.workspaces.empty()
+        if (m_table.hasWorkspaces && m_table.workspaces.empty()
             && std::ranges::none_of(m_table.routes, &Route::open))
             add(FindingKind::NeverMatches, "workspaces",
                 "there is no key, and no route is open: every request is refused");
--- a/src/version/routing/tests/routingtable_tests.cpp
+++ b/src/version/routing/tests/routingtable_tests.cpp
@@ -50,3 +50,24 @@
     EXPECT_EQ(pickService(table.routes[0], 0.89), "one");
     EXPECT_EQ(pickService(table.routes[0], 0.91), "two");
 }
+
+//! No key, a key that nobody holds, and a configuration without workspaces were all the same: an
+//! empty name.
+TEST(RoutingTable, RoutingTable_OwnerOf_TellsNoKeyFromUnknownKeysAndFromNoWorkspaces)
+{
+    const auto ofNone = Credential();
+    const auto ofKey = Credential { CredentialKind::Key, "key" };
+    const auto ofOther = Credential { CredentialKind::Key, "other" };
+    const auto ofUnusable = Credential { CredentialKind::Unusable };
+    auto table = makeTable();
+    table.hasWorkspaces = true;
+    EXPECT_EQ(table.ownerOf(ofKey), workspaceOwner("cafe"));
+    EXPECT_EQ(table.ownerOf(ofNone), Owner { OwnerKind::Anonymous });
+    EXPECT_FALSE(table.ownerOf(ofOther).has_value());
+    EXPECT_FALSE(table.ownerOf(ofUnusable).has_value());
+    table.workspaces.clear();
+    EXPECT_FALSE(table.ownerOf(ofKey).has_value());
+    table.hasWorkspaces = false;
+    for (const auto &credential : { ofNone, ofKey, ofOther, ofUnusable })
+        EXPECT_EQ(table.ownerOf(credential), Owner { OwnerKind::Shared });
+}
--- a/src/version/routing/tests/tablecheck_tests.cpp
+++ b/src/version/routing/tests/tablecheck_tests.cpp
@@ -19,7 +19,7 @@
     auto orders = Route { "orders", "h", "/b/", RouteKind::Idempotent, { { "desk" } } };
     table.routes = { batches, orders };
     table.workspaces["hash"] = Workspace { "w", std::nullopt };
-    table.keysNeeded = true;
+    table.hasWorkspaces = true;
     return table;
 }
 
--- a/tests/platformworld/store.py
+++ b/tests/platformworld/store.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import time
 
@@ -102,6 +103,8 @@
         self.late_by = 1.0
         self.slow = 0.0
         self.calls = self.refused = 0
+        #: Reads of partitions (topic, number) that do not wait for news.
+        self.short_reads: collections.Counter = collections.Counter()
         self.oversized = 0  #: Appends with a record above RECORD_BYTES.
         self.writes, self.reads = Rate(writes_per_s), Rate(reads_per_s)
 
@@ -145,6 +148,7 @@
         if request.path == "/v1/log-append":
             return Answer(403) if topic in FOREIGN_TOPICS else self.append(partition, request)
         if request.path == "/v1/log-read":
+            self.short_reads[topic, number] += "wait_ms" not in request.query
             answer = await self.read(partition, request)
             if topic in self.muted_topics:
                 while topic in self.muted_topics:
--- a/tests/platformworld/world.py
+++ b/tests/platformworld/world.py
@@ -161,10 +161,14 @@
         return {}
 
     def configure(self, **changes) -> None:
+        """Writes the next version of the configuration; a field that is None is left out."""
         self.config_version += 1
+        configuration = {"version": self.config_version, **self.configuration(), **changes}
+        self.store.put("keyed.op", "config", {name: value for name, value in configuration.items() if value is not None})
+
+    def configuration(self) -> dict:
         route = {"host": HOST, "timeout_ms": 10000, "target_latency_ms": 150, "max_attempts": 2, "public": False}
-        configuration = {
-            "version": self.config_version,
+        return {
             "routes": [{**route, "name": "orders", "path_prefix": "/orders/", "kind": "safe", "service": "desk"},
                        {**route, "name": "once", "path_prefix": "/once/", "kind": "unsafe", "service": "desk"},
                        {**route, "name": "checks", "path_prefix": "/checks/", "kind": "safe", "service": "book",
@@ -176,8 +180,7 @@
             "services": [{"name": "desk", "max_connections": 64}, {"name": "book", "max_connections": 64},
                          {"name": "quote", "max_connections": 64,
                           "engine": {"slots": 8, "kv_cache_tokens": 40000, "stride": 1, "models": [{"name": MODEL}]}}],
-            "tenants": [{"name": "amend", "api_keys": self.keys}], "limits": {"idle_timeout_ms": 15000}, **changes}
-        self.store.put("keyed.op", "config", configuration)
+            "tenants": [{"name": "amend", "api_keys": self.keys}], "limits": {"idle_timeout_ms": 15000}}
 
     def add_engine(self, software: str) -> EngineBackend:
         """A new server of a software version, as in a release."""
