Items' own headers tell backend servers neither keys nor owners

Backend servers saw a key that stood among the headers of an item ("Authorization", "X-Api-Key"), a second "Host", and "Connection: X-Tenant", which tells a server to drop the owner's name. A line break in the value or name of such a header, in an item's id or path, or in what its scorer is called by, added headers of the caller's choice to the request, another tenant's name among them.

Cause: buildItemRequest passed the headers on as they stood in the submission, unlike those of forwarded requests, and the HTTP client writes names, values and targets without a look at them.

Change: items' headers pass cleanHeaders, when they are accepted and, for batches that a former version accepted, when they are sent. A submission whose headers, ids or paths can't be sent as they are gets 400 and nothing of it is kept. HttpConnection::send refuses such a request of whatever origin. The stand-ins of the platform show a field that stands twice.

--- a/src/connection/http/internal/httpconnection.cpp
+++ b/src/connection/http/internal/httpconnection.cpp
@@ -107,6 +107,10 @@
     -> asio::awaitable<absl::Status>
 {
     m_reusable = false;
+    if (!areValidHeaders(request.headers) || !isValidTarget(request.target))
+        co_return base::makeError(absl::StatusCode::kInvalidArgument,
+                                  "the target or a header has characters that can't be sent",
+                                  { "http.send", m_peer });
     // Refers to the caller's body: a copy of a large one would not fit into a small machine.
     auto message = beast::http::request<beast::http::span_body<const char>>();
     message.version(11);
--- a/src/connection/http/internal/message.cpp
+++ b/src/connection/http/internal/message.cpp
@@ -16,6 +16,26 @@
     "Trailer",    "Transfer-Encoding", "Content-Length",   "Expect",
 };
 
+constexpr auto TOKEN_PUNCTUATION = std::string_view("!#$%&'*+-.^_`|~");
+constexpr auto DELETE_CHARACTER = '\x7f';
+
+auto isControl(char byte) -> bool
+{
+    return static_cast<unsigned char>(byte) < ' ' || byte == DELETE_CHARACTER;
+}
+
+auto isTokenCharacter(char byte) -> bool
+{
+    const auto lower = static_cast<char>(byte | 0x20);
+    return (lower >= 'a' && lower <= 'z') || (byte >= '0' && byte <= '9')
+        || TOKEN_PUNCTUATION.find(byte) != std::string_view::npos;
+}
+
+auto isForbiddenInValue(char byte) -> bool
+{
+    return isControl(byte) && byte != '\t';
+}
+
 } // namespace
 
 auto headerValue(const Headers &headers, std::string_view name) -> std::string
@@ -33,6 +53,20 @@
         headers, [name](const Header &header) { return boost::beast::iequals(header.name, name); });
 }
 
+auto areValidHeaders(const Headers &headers) -> bool
+{
+    return std::ranges::all_of(headers, [](const Header &header) {
+        return !header.name.empty() && std::ranges::all_of(header.name, isTokenCharacter)
+            && std::ranges::none_of(header.value, isForbiddenInValue);
+    });
+}
+
+auto isValidTarget(std::string_view target) -> bool
+{
+    return !target.empty()
+        && std::ranges::none_of(target, [](char byte) { return isControl(byte) || byte == ' '; });
+}
+
 auto removeHopByHopHeaders(Headers &headers) -> void
 {
     const auto options = headerValue(headers, "Connection");
--- a/src/connection/http/message.h
+++ b/src/connection/http/message.h
@@ -22,6 +22,13 @@
 //! Removes all fields called \a name.
 auto removeHeader(Headers &headers, std::string_view name) -> void;
 
+//! Whether \a headers can be sent as they are. A line break in a value would begin a field of its
+//! own, and other servers would read it as one.
+auto areValidHeaders(const Headers &headers) -> bool;
+
+//! Whether \a target can stand in the first line of a request.
+auto isValidTarget(std::string_view target) -> bool;
+
 //! Removes the fields that concern one connection or the framing of one body, also those that
 //! "Connection" names, which no hop passes on. "Expect" is among them: each hop answers it itself.
 auto removeHopByHopHeaders(Headers &headers) -> void;
--- a/src/connection/http/tests/http_tests.cpp
+++ b/src/connection/http/tests/http_tests.cpp
@@ -104,6 +104,21 @@
     EXPECT_EQ(ask({ "GET", "/stream", {}, "", "" })->body, "one,two");
 }
 
+//! The line break in a value made the rest of it a header of its own.
+TEST_F(HttpTest, Http_Fetch_RequestThatCannotBeSentAsItIs_IsAnError)
+{
+    for (const auto &header : Headers { { "X-Note", "a\r\nX-Other: b" },
+                                        { "X-Note", "a\nb" },
+                                        { "X-Note", std::string("a\0b", 3) },
+                                        { "X Note", "a" },
+                                        { "X-Note:", "a" },
+                                        { "", "a" } })
+        EXPECT_FALSE(ask({ "GET", "/", { header } }).ok()) << header.name;
+    for (const auto *target : { "", "/a b", "/a\r\nX-Other: b" })
+        EXPECT_FALSE(ask({ "GET", target }).ok()) << target;
+    EXPECT_TRUE(ask({ "GET", "/\xc3\xa9?q=\"", { { "X-Note", "a\tb \xc3\xa9" } } }).ok());
+}
+
 TEST_F(HttpTest, Http_Fetch_TruncatedAnswerIsAnError)
 {
     EXPECT_FALSE(ask({ "GET", "/cut", {}, "", "" }).ok());
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -121,6 +121,29 @@
     return http::headerValue(item.headers, name);
 }
 
+//! Headers of an item as they go to a backend server. Whose the item is comes from the batch, and
+//! no backend server sees a key.
+auto readItemHeaders(const json::object &object) -> http::Headers
+{
+    auto headers = http::Headers();
+    for (const auto &entry : object) {
+        if (entry.value().is_string())
+            headers.push_back(
+                { std::string(entry.key()), std::string(entry.value().get_string()) });
+    }
+    headers = connection::backend::cleanHeaders(std::move(headers));
+    http::removeHeader(headers, wireheaders::WORKSPACE);
+    http::removeHeader(headers, wireheaders::REQUEST_ID);
+    return headers;
+}
+
+auto canBeSent(const version::batch::Scorer &scorer) -> bool
+{
+    return http::isValidTarget(scorer.path)
+        && http::areValidHeaders(
+               { { "Host", scorer.host }, { wireheaders::REQUEST_ID, scorer.id } });
+}
+
 auto readScorer(const json::object &object) -> std::optional<version::batch::Scorer>
 {
     const auto id = stringField(object, "id");
@@ -129,7 +152,10 @@
     const auto body = base::decodeBase64(stringField(object, "body").value_or(""));
     if (!id.has_value() || !host.has_value() || !path.has_value() || !body.has_value())
         return std::nullopt;
-    return version::batch::Scorer { *id, *host, *path, *body };
+    auto scorer = version::batch::Scorer { *id, *host, *path, *body };
+    if (!canBeSent(scorer))
+        return std::nullopt;
+    return scorer;
 }
 
 auto readItem(const json::object &object) -> std::optional<version::batch::Item>
@@ -151,15 +177,11 @@
     }
     // "tokens" is the prompt length plus the maximum output length.
     item.tokens = unsignedField(object, "tokens").value_or(0);
-    if (const auto *headers = objectField(object, "headers")) {
-        for (const auto &entry : *headers) {
-            if (entry.value().is_string())
-                item.headers.push_back(
-                    { std::string(entry.key()), std::string(entry.value().get_string()) });
-        }
-    }
-    http::removeHeader(item.headers, wireheaders::REQUEST_ID);
+    if (const auto *headers = objectField(object, "headers"))
+        item.headers = readItemHeaders(*headers);
     item.headers.push_back({ wireheaders::REQUEST_ID, item.id });
+    if (!http::isValidTarget(item.path) || !http::areValidHeaders(item.headers))
+        return std::nullopt;
     item.promptTokens = parseUnsigned(itemHeader(item, wireheaders::TOKEN_USAGE)).value_or(0);
     item.expectedOutput = parseUnsigned(itemHeader(item, wireheaders::LENGTH_HINT)).value_or(0);
     return item;
--- a/src/platform/tests/callprotocol_tests.cpp
+++ b/src/platform/tests/callprotocol_tests.cpp
@@ -171,6 +171,42 @@
     }
 }
 
+//! Backend servers got keys and workspaces that callers had written into the headers of items.
+TEST(CallProtocol, CallProtocol_ItemHeaders_HoldNeitherKeyNorWorkspace)
+{
+    const auto protocol = CallProtocol();
+    const auto call = protocol.readCall(makeRequest("POST", "/p/r1"));
+    const auto batch = protocol.readSubmission(
+        call, R"({"items":[{"id":"i1","path":"/p/1","headers":{"Authorization":"Bearer k",
+      "authorization":"Bearer k","x-tenant":"cafe","X-Tenant":"cafe","Host":"other","X-Model":"m",
+      "Connection":"X-Model","X-Request-Id":"other"}}]})");
+    ASSERT_TRUE(batch.ok()) << batch.status();
+    const auto &headers = batch->items.front().headers;
+    ASSERT_EQ(headers.size(), 1U);
+    EXPECT_EQ(headers.front().name, "X-Request-Id");
+    EXPECT_EQ(headers.front().value, "i1");
+}
+
+//! A line break in what a caller names would add a header of the caller's choice to the request.
+TEST(CallProtocol, CallProtocol_ItemsThatCannotBeSentAsTheyAre_AreRejected)
+{
+    const auto protocol = CallProtocol();
+    const auto call = protocol.readCall(makeRequest("POST", "/p/r1"));
+    for (const auto *item :
+         { R"({"id":"i1","path":"/p/1","headers":{"X-Note":"a\r\nX-Tenant: cafe"}})",
+           R"({"id":"i1","path":"/p/1","headers":{"X-Note":"a\u0000"}})",
+           R"({"id":"i1","path":"/p/1","headers":{"X-Tenant ":"cafe"}})",
+           R"({"id":"i1","path":"/p/1","headers":{"X-Tenant:":"cafe"}})",
+           R"({"id":"i1\r\nX-Tenant: cafe","path":"/p/1"})", R"({"id":"i1","path":""})",
+           R"({"id":"i1","path":"/p/1 HTTP/1.1\r\nX-Tenant: cafe\r\nX-Note:"})",
+           R"({"id":"i1","path":"/p","scorer":{"id":"s\r\nX-Tenant: a","host":"h","path":"/q"}})",
+           R"({"id":"i1","path":"/p","scorer":{"id":"s","host":"h\r\nX-Tenant: a","path":"/q"}})",
+           R"({"id":"i1","path":"/p","scorer":{"id":"s","host":"h","path":"/q 1"}})" }) {
+        const auto body = std::string(R"({"items":[)") + item + "]}";
+        EXPECT_FALSE(protocol.readSubmission(call, body).ok()) << item;
+    }
+}
+
 TEST(CallProtocol, CallProtocol_Refusal_CarriesRetryAfter)
 {
     const auto response = CallProtocol().writeRefusal(
--- a/src/request/rollout/itemrequest.cpp
+++ b/src/request/rollout/itemrequest.cpp
@@ -1,5 +1,7 @@
 #include "request/rollout/itemrequest.h"
 
+#include "connection/backend/cleanheaders.h"
+
 namespace nutmegplank::request::rollout {
 
 namespace {
@@ -22,7 +24,8 @@
     auto request = connection::http::Request();
     request.method = "POST";
     request.target = source.path;
-    request.headers = source.headers;
+    // Former versions of this program kept the headers as they came.
+    request.headers = connection::backend::cleanHeaders(source.headers);
     request.headers.push_back({ "Host", head.host });
     request.body = source.body;
     auto envelope = serverprotocol::Envelope();
--- a/tests/platformworld/httpd.py
+++ b/tests/platformworld/httpd.py
@@ -111,7 +111,9 @@
         for line in head[1:]:
             if line:
                 name, value = line.split(":", 1)
-                headers[name.strip().lower()] = value.strip()
+                # A field that stands twice must not look like one that stands once.
+                name, value = name.strip().lower(), value.strip()
+                headers[name] = f"{headers[name]}, {value}" if name in headers else value
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         path, _, query = target.partition("?")
         request = Request(method, path, dict(urllib.parse.parse_qsl(query)), headers, body)
