Reports of use name tenants only

Requests without an owner, on public routes, were reported to the platform as use of a tenant with an empty name: {"": 8} after eight requests without a key.

Cause: UsageDuty::countRun counted what had no workspace under the empty text.

--- a/src/app/node/usageduty.cpp
+++ b/src/app/node/usageduty.cpp
@@ -53,6 +53,8 @@
 
 auto UsageDuty::countRun(const std::string &workspace) -> void
 {
+    if (workspace.empty())
+        return;
     m_local.count(workspace, m_parts.trueTime.milliseconds(process::clock::now()));
 }
 
--- a/src/app/node/usageduty.h
+++ b/src/app/node/usageduty.h
@@ -39,7 +39,7 @@
     explicit UsageDuty(UsageDutyParts parts);
 
     auto start() -> void;
-    //! A request of \a workspace has begun to run.
+    //! A request of \a workspace has begun to run; empty if it belongs to none and is in no report.
     auto countRun(const std::string &workspace) -> void;
 
 private:
