Texts of ended batches are kept by workspace and item apart

Texts that an ended batch leaves to a later one were found by "workspace/item": item "b" of workspace "w/a" and item "a/b" of workspace "w" were the same, so that a text could go on in another workspace's batch when both items had the same path, body and headers.

The key now says how long the workspace's name is. Found by reading; the lines added to carriedtexts_tests fail on the former key and pass now.

--- a/src/request/rollout/carriedtexts.cpp
+++ b/src/request/rollout/carriedtexts.cpp
@@ -17,7 +17,8 @@
 
 auto makeKey(const std::string &workspace, const version::batch::Item &item) -> std::string
 {
-    return base::concat(workspace, "/", item.id);
+    // Ids may contain any character: the length tells where the workspace ends.
+    return base::concat(workspace.size(), "/", workspace, item.id);
 }
 
 auto fingerprintOf(const version::batch::Item &item) -> std::uint64_t
--- a/src/request/rollout/tests/carriedtexts_tests.cpp
+++ b/src/request/rollout/tests/carriedtexts_tests.cpp
@@ -58,6 +58,11 @@
     auto texts = CarriedTexts();
     texts.keep("w", makeItem(), makeText({ 5 }), NOW);
     EXPECT_FALSE(texts.take("other", makeItem(), 1, false, NOW).has_value());
+    // Names and ids that read alike when they are put together.
+    texts.keep("w/a", makeItem("b"), makeText({ 5 }), NOW);
+    EXPECT_FALSE(texts.take("w", makeItem("a/b"), 1, false, NOW).has_value());
+    texts.keep("w1", makeItem("1b"), makeText({ 5 }), NOW);
+    EXPECT_FALSE(texts.take("w", makeItem("11b"), 1, false, NOW).has_value());
     EXPECT_FALSE(texts.take("w", makeItem("i2"), 1, false, NOW).has_value());
     auto changed = makeItem();
     changed.body = "another prompt";
