Keys count on open routes of the standalone programs

A request with a key on an open route ran as the route's workspace, also with a key that is unknown or withdrawn: its use was counted for another workspace than the key's, and a withdrawn key went on working there.

Change: without a key all is as before; with one, an open route is like any other. While the configuration is not confirmed, such requests are refused as not run (503 configuration_unconfirmed), since the key may have been withdrawn.

--- a/src/request/admission/admission.h
+++ b/src/request/admission/admission.h
@@ -22,7 +22,7 @@
     connection::http::Request request; //!< Credentials and hop-by-hop headers are removed.
     Target target = Target::Route;
     std::string workspace;
-    std::string keyId; //!< Empty on open routes, which need no key.
+    std::string keyId; //!< Empty for requests without a key, on open routes.
     std::string route;
     version::configuration::Service service; //!< Empty for steps.
     bool idempotent = false; //!< Whether the request may be sent again after it may have run.
@@ -31,8 +31,8 @@
 using AdmissionResult = std::variant<AdmittedRequest, execution::Refusal>;
 
 //! Accepts or refuses one request under one configuration snapshot. While \a configurationConfirmed
-//! is false, the snapshot may be out of date and still hold withdrawn keys, so that only open
-//! routes are served.
+//! is false, the snapshot may be out of date and still hold withdrawn keys, so that only requests
+//! without a key are served, on open routes. A key that comes with a request counts on every route.
 auto admit(connection::http::Request request,
            const version::configuration::Configuration &configuration, bool configurationConfirmed)
     -> AdmissionResult;
--- a/src/request/admission/internal/admission.cpp
+++ b/src/request/admission/internal/admission.cpp
@@ -105,7 +105,7 @@
         return refuse(refusal::Code::MisplacedKey, "the key also stands in path or body");
     const auto isStep = isAtOrBelow(path, STEPS_PATH) || isAtOrBelow(path, WEIGHTS_PATH);
     const auto *route = isStep ? nullptr : findRoute(configuration, path);
-    if (route != nullptr && route->open) {
+    if (route != nullptr && route->open && credentials.keys.empty()) {
         admitted.workspace = route->workspace;
         return admitRoute(std::move(admitted), *route, configuration);
     }
--- a/src/request/admission/tests/admission_tests.cpp
+++ b/src/request/admission/tests/admission_tests.cpp
@@ -128,6 +128,24 @@
               "configuration_unconfirmed");
 }
 
+//! A key was ignored there: work of a workspace was counted as another one's, and withdrawn keys
+//! went on working.
+TEST(Admission, Admission_Admit_KeyCountsOnOpenRoutes)
+{
+    const auto configuration = makeConfiguration();
+    const auto result = admit(makeRequestWithKey("/orders/open", KEY), configuration, true);
+    ASSERT_TRUE(std::holds_alternative<AdmittedRequest>(result));
+    EXPECT_EQ(std::get<AdmittedRequest>(result).workspace, "quotes");
+    EXPECT_EQ(std::get<AdmittedRequest>(result).keyId, "key-1");
+    const auto refusalOf = [&configuration](const std::string &key, bool isConfirmed) {
+        return codeOf(admit(makeRequestWithKey("/orders/open", key), configuration, isConfirmed));
+    };
+    EXPECT_EQ(refusalOf("wrong", true), "unknown_key");
+    EXPECT_EQ(refusalOf(WITHDRAWN_KEY, true), "key_withdrawn");
+    EXPECT_EQ(refusalOf(KEY, false), "configuration_unconfirmed");
+    EXPECT_EQ(refusalOf("", false), "");
+}
+
 TEST(Admission, Admission_Admit_AmbiguousPathsDoNotReachOpenRoutes)
 {
     const auto configuration = makeConfiguration();
--- a/src/version/configuration/configuration.h
+++ b/src/version/configuration/configuration.h
@@ -54,7 +54,7 @@
     std::string name;
     std::string pathPrefix; //!< The longest matching prefix wins.
     std::string service;
-    bool open = false;     //!< Callers need no key; requests run for \a workspace.
+    bool open = false;     //!< Callers need no key; requests without one run for \a workspace.
     std::string workspace; //!< For open routes only.
     //! All requests may be repeated; otherwise only GET, HEAD, PUT and DELETE.
     bool idempotent = false;
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -41,6 +41,8 @@
             self.assertEqual(answer.status, 401, answer.text)
             self.assertEqual(answer.json()["error"]["ran"], "not_run")
         self.assertEqual(self.cluster.call(0, "GET", "/catalogue/mats").status, 200)
+        self.assertEqual(self.cluster.call(0, "GET", "/catalogue/mats", key=self.key).status, 200)
+        self.assertEqual(self.cluster.call(0, "GET", "/catalogue/mats", key="wrong").status, 401)
         self.assertEqual(self.cluster.call(0, "GET", "/nowhere", key=self.key).status, 404)
 
 
