Test of broken answers to scoring calls of the standalone programs

Scoring calls of steps were the one path of the standalone programs without a test of its own. All forms of broken answers, status 000 among them, once each: every sample is delivered with the scorer's own score.

--- a/tests/integration/test_brokenanswers.py
+++ b/tests/integration/test_brokenanswers.py
@@ -23,6 +23,8 @@
 STORE_TROUBLE = 2.0
 #: How long the answers to the status checks of the standalone programs are broken.
 CHECK_TROUBLE = 2.0
+#: Of each sample that a standalone step has scored, and the time for all of them.
+SCORE, SCORING_TIME = 0.5, 40.0
 #: Memory of one standalone process.
 PROCESS_MEMORY_MB = 128
 #: Memory of the smallest machine of the users' deployments.
@@ -216,7 +218,10 @@
             return Answer(200, headers, chunks=bytes_without_end())
         if is_check:
             return Answer(200, headers, json.dumps({"boot_id": "second", "cold": False, "running": 0}).encode())
-        self.ran.append(json.loads(request.body)["order"])
+        call = json.loads(request.body)
+        if "slot" in call:
+            return Answer(200, headers, json.dumps({"score": SCORE}).encode())
+        self.ran.append(call["order"])
         return Answer(200, headers, b'{"confirmation": "ours"}')
 
     def wait_service(self):
@@ -248,6 +253,25 @@
                 self.assertTrue(breaker.broken)
             self.wait_service()
 
+    def test_of_scores(self):
+        """A broken answer to a scoring call gives no score, and its sample is scored or made again."""
+        breaker = Breaker(each=1, concerns=lambda request: b'"slot"' in request.body)
+        self.server.spoil = breaker
+        step = {"step": "scored", "epoch": 1, "service": self.deployment.engine.name, "max_staleness": 3,
+                "trainer_version": 0, "scoring": self.deployment.plain.name,
+                "groups": [{"group": "g", "prompt": "p", "samples": len(FORMS), "max_tokens": 4, "seed": 1}]}
+        self.assertEqual(self.cluster.call(0, "POST", "/v1/steps", step, self.key).status, 201)
+        scores, held, ends = {}, [], time.monotonic() + SCORING_TIME
+        while len(scores) < len(FORMS) and time.monotonic() < ends:
+            answer = self.cluster.call(0, "POST", "/v1/steps/scored/pull", {
+                "epoch": 1, "trainer_version": 0, "acknowledge": held, "max": 64, "wait_ms": 1000}, self.key)
+            self.assertEqual(answer.status, 200, answer.text)
+            held = [sample["slot"] for sample in answer.json()["samples"]]
+            scores.update({sample["slot"]: sample["score"] for sample in answer.json()["samples"]})
+        print("scores:", scores, "broken answers:", breaker.broken)
+        self.assertEqual(list(scores.values()), [SCORE] * len(FORMS))
+        self.assertEqual(breaker.broken, len(FORMS))
+
     def test_of_status_checks(self):
         breaker = Breaker(concerns=lambda request: request.path == "/health")
         self.server.spoil = breaker
