Calls on batches without a key are refused at once where none can come without

The search for the batch is a function of its own now (findBatch).

Evidence: test_calls_without_a_key_are_refused_at_once_where_no_batch_comes_without, new and passing, one run.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -105,6 +105,14 @@
     return base::concat("batch/", route.name);
 }
 
+//! Whether batches may come without a key.
+auto takesOpenBatches(const version::routing::RoutingTable &table) -> bool
+{
+    return std::ranges::any_of(table.routes, [](const version::routing::Route &route) {
+        return route.open && route.kind == RouteKind::Rollout;
+    });
+}
+
 } // namespace
 
 CallService::CallService(CallServiceParts parts)
@@ -398,31 +406,11 @@
 
 auto CallService::batchCall(const Exchange &exchange) -> asio::awaitable<Answer>
 {
-    const auto &id = exchange.call.batchId;
-    const auto &log = m_parts.batches.log();
     m_parts.batches.requestFastRetries(process::clock::now());
-    auto access = findForCaller(log, exchange.caller, id);
-    if (access.outcome == AccessOutcome::NotFound)
-        co_await m_parts.batches.waitForChange(id, process::clock::now() + ARRIVAL_TIME);
-    access = findForCaller(log, exchange.caller, id);
-    const auto mustRead =
-        access.outcome == AccessOutcome::NotFound || mayBeSuperseded(access, exchange.caller);
-    if (mustRead) {
-        const auto isCertain = co_await hasReadLog(exchange.caller);
-        if (!isCertain)
-            co_return refuse(exchange,
-                             { RefusalCode::Unsure, "the log does not answer", STORE_RETRY });
-        access = findForCaller(log, exchange.caller, id);
-    }
-    if (access.outcome == AccessOutcome::Ambiguous)
-        co_return refuse(exchange,
-                         { RefusalCode::Unsure, "several workspaces have a batch of this id" });
-    // Whether others have a batch of this id is not told.
-    if (access.outcome == AccessOutcome::NotFound && exchange.caller.kind == OwnerKind::Anonymous)
-        co_return refuse(exchange, { RefusalCode::UnknownKey, "the call needs a key" });
-    if (access.outcome == AccessOutcome::NotFound)
-        co_return refuse(exchange, { RefusalCode::NoBatch, "no such batch" });
-    const auto key = access.batch->head.key();
+    const auto found = co_await findBatch(exchange);
+    if (const auto *refusal = std::get_if<Refusal>(&found); refusal != nullptr)
+        co_return refuse(exchange, *refusal);
+    const auto &key = std::get<std::string>(found);
     switch (exchange.call.kind) {
     case CallKind::ReadBody:
         co_return co_await readBody(exchange, key);
@@ -435,6 +423,37 @@
     co_return co_await readResults(exchange, key);
 }
 
+auto CallService::findBatch(const Exchange &exchange)
+    -> asio::awaitable<std::variant<std::string, Refusal>>
+{
+    const auto &id = exchange.call.batchId;
+    const auto &caller = exchange.caller;
+    const auto &log = m_parts.batches.log();
+    const auto isAnonymous = caller.kind == OwnerKind::Anonymous;
+    // Does not tell callers without a key whether others have a batch of this id.
+    const auto notFound = isAnonymous ? Refusal { RefusalCode::UnknownKey, "the call needs a key" }
+                                      : Refusal { RefusalCode::NoBatch, "no such batch" };
+    auto access = findForCaller(log, caller, id);
+    if (access.outcome == AccessOutcome::NotFound && isAnonymous
+        && !takesOpenBatches(*exchange.table))
+        co_return notFound;
+    if (access.outcome == AccessOutcome::NotFound) {
+        co_await m_parts.batches.waitForChange(id, process::clock::now() + ARRIVAL_TIME);
+        access = findForCaller(log, caller, id);
+    }
+    if (access.outcome == AccessOutcome::NotFound || mayBeSuperseded(access, caller)) {
+        const auto hasRead = co_await hasReadLog(caller);
+        if (!hasRead)
+            co_return Refusal { RefusalCode::Unsure, "the log does not answer", STORE_RETRY };
+        access = findForCaller(log, caller, id);
+    }
+    if (access.outcome == AccessOutcome::Ambiguous)
+        co_return Refusal { RefusalCode::Unsure, "several workspaces have a batch of this id" };
+    if (access.outcome == AccessOutcome::NotFound)
+        co_return notFound;
+    co_return access.batch->head.key();
+}
+
 //! Whether everything has been read that was in the log when \a caller asked. Callers without a
 //! key cause no reads of the log, so that a crowd of them can't use up the machines' calls to it.
 auto CallService::hasReadLog(const version::routing::Owner &caller) -> asio::awaitable<bool>
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <variant>
 
 #include "app/node/batchstore.h"
 #include "app/node/relay.h"
@@ -79,6 +80,9 @@
     auto noteKept(const Exchange &exchange, const version::journal::AppendResult &result) const
         -> void;
     auto batchCall(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
+    //! Returns the key of the batch that the call is on, or why the call is refused.
+    auto findBatch(const Exchange &exchange)
+        -> boost::asio::awaitable<std::variant<std::string, request::call::Refusal>>;
     auto hasReadLog(const version::routing::Owner &caller) -> boost::asio::awaitable<bool>;
     auto readResults(const Exchange &exchange, const std::string &key)
         -> boost::asio::awaitable<Answer>;
--- a/tests/integration/test_ownership.py
+++ b/tests/integration/test_ownership.py
@@ -18,6 +18,10 @@
 #: How a call comes, and the tenant that is to be seen behind it.
 KEYS = {AMEND: "amend", CAFE: "cafe", None: None}
 EVENTS = 14
+#: A batch that was accepted elsewhere a moment ago is waited for this long.
+ARRIVAL_MS = 400
+#: Of one caller, one after the other.
+CALLS = 5
 #: The partition of the store that lists batches.
 INDEX = ("nutmegplank", 0)
 
@@ -383,6 +387,16 @@
             reads[key] = self.world.store.short_reads[INDEX] - before
         self.assertEqual(reads, {None: 0, AMEND: 10})
 
+    def test_calls_without_a_key_are_refused_at_once_where_no_batch_comes_without(self):
+        self.configure()
+        for _ in range(CALLS):
+            self.assertEqual(self.read(self.nodes[0], "nothing", None)[0], 401)
+
+        def held():
+            refused = [line for line in self.nodes[0].events("call.refused") if line["code"] == "unknown_key"]
+            return [line["held_ms"] for line in refused] if len(refused) == CALLS else None
+        self.assertLess(min(eventually(held, 5, "a log line for each call")), ARRIVAL_MS)
+
 
 class Scores(OwnershipCase):
     SCORERS = 2
