Calls on accepted batches are a class of their own

callservice.cpp had grown to 536 lines with the search for a batch. Reads, bodies and ends are answered by BatchCalls now; what a call is known by and how it is refused, which both need, stand in exchange.h. No behaviour is meant to change.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -22,23 +22,17 @@
 using request::call::CallKind;
 using request::call::Refusal;
 using request::call::RefusalCode;
-using version::batch::AccessOutcome;
 using version::journal::AppendOutcome;
 using version::routing::OwnerKind;
 using version::routing::RouteKind;
 
 constexpr auto USE_TUPLE = asio::as_tuple(asio::use_awaitable);
-//! Longest wait of a reader for a result.
-constexpr auto LONGEST_WAIT = std::chrono::milliseconds(1000);
-//! A batch that was accepted elsewhere a moment ago is read within this.
-constexpr auto ARRIVAL_TIME = std::chrono::milliseconds(400);
 //! An append without an answer may still show up.
 constexpr auto LATE_APPEND = std::chrono::milliseconds(700);
 //! When a caller that found no free server may come back: one request's duration.
 constexpr auto SERVER_RETRY = std::chrono::milliseconds(60);
 //! Callers of results that are refused ask again at another machine.
 constexpr auto ROOM_TIME = std::chrono::milliseconds(2500);
-constexpr auto STORE_RETRY = std::chrono::milliseconds(1500);
 //! A batch is held for this part of its caller's time: enough for an outage of some seconds, and
 //! the caller can still come back once.
 constexpr auto HOLD_PART = 2;
@@ -56,11 +50,8 @@
 constexpr auto RESUME_CHECK = std::chrono::milliseconds(5);
 //! Callers whose machine stops go to another one at once.
 constexpr auto STOPPING_RETRY = std::chrono::milliseconds(50);
-//! The log answers within this in calm times: a result is read, or a batch's end written.
-constexpr auto BATCH_CALL_TIME = std::chrono::milliseconds(700);
 //! All tries to write a batch, and the wait for an append without an answer.
 constexpr auto LONGEST_SUBMISSION = std::chrono::milliseconds(4600);
-constexpr auto STATUS_OK = 200U;
 constexpr auto FIRST_ERROR = 400U;
 
 auto refusalFor(const request::forward::ForwardResult &result) -> Refusal
@@ -105,18 +96,11 @@
     return base::concat("batch/", route.name);
 }
 
-//! Whether batches may come without a key.
-auto takesOpenBatches(const version::routing::RoutingTable &table) -> bool
-{
-    return std::ranges::any_of(table.routes, [](const version::routing::Route &route) {
-        return route.open && route.kind == RouteKind::Rollout;
-    });
-}
-
 } // namespace
 
 CallService::CallService(CallServiceParts parts)
     : m_parts(std::move(parts))
+    , m_batchCalls(m_parts.protocol, m_parts.batches, m_parts.shutdown)
     , m_answered(m_parts.metrics.counter("nutmegplank_calls_total", "Calls of callers.",
                                          { { "outcome", "answered" } }))
     , m_refused(m_parts.metrics.counter("nutmegplank_calls_total", "Calls of callers.",
@@ -125,19 +109,9 @@
                                              "From a call's last byte to its answer."))
 { }
 
-auto CallService::refuse(const Exchange &exchange, Refusal refusal) const -> Answer
+auto CallService::refuse(const Exchange &exchange, const Refusal &refusal) const -> Answer
 {
-    logging::info(
-        "call.refused",
-        { { "request", exchange.call.requestId },
-          { "kind", base::nameOf(request::call::CALL_KIND_NAMES, exchange.call.kind) },
-          { "path", exchange.call.path },
-          { "code", base::nameOf(request::call::REFUSAL_CODE_NAMES, refusal.code) },
-          { "detail", refusal.detail },
-          { "retry_after_ms", base::toMilliseconds(refusal.retryAfter) },
-          { "configuration", exchange.table == nullptr ? 0 : exchange.table->version },
-          { "held_ms", base::toMilliseconds(process::clock::now() - exchange.receivedAt) } });
-    return m_parts.protocol.writeRefusal(refusal, exchange.call.requestId);
+    return app::node::refuse(m_parts.protocol, exchange, refusal);
 }
 
 auto CallService::noteAnswer(const Exchange &exchange, std::uint32_t status,
@@ -234,7 +208,7 @@
         responder.onCallerGone([handle] { handle->cancel(); });
         answer = co_await submit(exchange, request, *route, handle);
     } else {
-        answer = co_await batchCall(exchange);
+        answer = co_await m_batchCalls.answer(exchange);
     }
     auto held = m_parts.heldAnswers.newHolder();
     const auto hasRoom = co_await request::forward::waitForRoom(
@@ -404,133 +378,4 @@
           { "held_ms", base::toMilliseconds(process::clock::now() - exchange.receivedAt) } });
 }
 
-auto CallService::batchCall(const Exchange &exchange) -> asio::awaitable<Answer>
-{
-    m_parts.batches.requestFastRetries(process::clock::now());
-    const auto found = co_await findBatch(exchange);
-    if (const auto *refusal = std::get_if<Refusal>(&found); refusal != nullptr)
-        co_return refuse(exchange, *refusal);
-    const auto &key = std::get<std::string>(found);
-    switch (exchange.call.kind) {
-    case CallKind::ReadBody:
-        co_return co_await readBody(exchange, key);
-    case CallKind::EndBatch:
-        co_return co_await endBatch(exchange, key);
-    case CallKind::ReadResults:
-    case CallKind::Request:
-        break;
-    }
-    co_return co_await readResults(exchange, key);
-}
-
-auto CallService::findBatch(const Exchange &exchange)
-    -> asio::awaitable<std::variant<std::string, Refusal>>
-{
-    const auto &id = exchange.call.batchId;
-    const auto &caller = exchange.caller;
-    const auto &log = m_parts.batches.log();
-    const auto isAnonymous = caller.kind == OwnerKind::Anonymous;
-    // Does not tell callers without a key whether others have a batch of this id.
-    const auto notFound = isAnonymous ? Refusal { RefusalCode::UnknownKey, "the call needs a key" }
-                                      : Refusal { RefusalCode::NoBatch, "no such batch" };
-    auto access = findForCaller(log, caller, id);
-    if (access.outcome == AccessOutcome::NotFound && isAnonymous
-        && !takesOpenBatches(*exchange.table))
-        co_return notFound;
-    if (access.outcome == AccessOutcome::NotFound) {
-        co_await m_parts.batches.waitForChange(id, process::clock::now() + ARRIVAL_TIME);
-        access = findForCaller(log, caller, id);
-    }
-    if (access.outcome == AccessOutcome::NotFound || mayBeSuperseded(access, caller)) {
-        const auto hasRead = co_await hasReadLog(caller);
-        if (!hasRead)
-            co_return Refusal { RefusalCode::Unsure, "the log does not answer", STORE_RETRY };
-        access = findForCaller(log, caller, id);
-    }
-    if (access.outcome == AccessOutcome::Ambiguous)
-        co_return Refusal { RefusalCode::Unsure, "several workspaces have a batch of this id" };
-    if (access.outcome == AccessOutcome::NotFound)
-        co_return notFound;
-    co_return access.batch->head.key();
-}
-
-//! Whether everything has been read that was in the log when \a caller asked. Callers without a
-//! key cause no reads of the log, so that a crowd of them can't use up the machines' calls to it.
-auto CallService::hasReadLog(const version::routing::Owner &caller) -> asio::awaitable<bool>
-{
-    if (caller.kind == OwnerKind::Anonymous)
-        co_return m_parts.batches.current(process::clock::now());
-    co_return co_await m_parts.batches.readToEnd();
-}
-
-auto CallService::readResults(const Exchange &exchange, const std::string &key)
-    -> asio::awaitable<Answer>
-{
-    const auto &call = exchange.call;
-    const auto wanted = exchange.receivedAt + std::min<base::Duration>(call.wait, LONGEST_WAIT);
-    // Time to load the results is left.
-    const auto waitUntil = [&] {
-        return m_parts.shutdown.limit(wanted + BATCH_CALL_TIME) - BATCH_CALL_TIME;
-    };
-    const auto *batch = m_parts.batches.log().find(key);
-    while (batch != nullptr && batch->listedCount <= call.position
-           && process::clock::now() < waitUntil()) {
-        co_await m_parts.batches.waitForChange(call.batchId, waitUntil());
-        batch = m_parts.batches.log().find(key);
-    }
-    if (batch == nullptr)
-        co_return refuse(exchange, { RefusalCode::Unsure, "the batch was dropped" });
-    const auto total = batch->itemCount();
-    // Another machine may have shown more: only a machine that knows the log's end may say that
-    // there is nothing yet.
-    if (batch->listedCount <= call.position && batch->listedCount < total
-        && !m_parts.batches.current(process::clock::now()))
-        co_return refuse(exchange,
-                         { RefusalCode::Unsure, "the log is not read to its end", STORE_RETRY });
-    auto results =
-        co_await m_parts.batches.loadResults(key, call.position, m_parts.protocol.maxResultBytes());
-    if (!results.ok())
-        co_return refuse(exchange,
-                         { RefusalCode::Unsure, base::describe(results.status()), STORE_RETRY });
-    co_return m_parts.protocol.writeResults(total, call.position, std::move(*results));
-}
-
-auto CallService::readBody(const Exchange &exchange, const std::string &key)
-    -> asio::awaitable<Answer>
-{
-    auto submission = co_await m_parts.batches.loadSubmission(key);
-    const auto *batch = m_parts.batches.log().find(key);
-    if (!submission.ok() || batch == nullptr)
-        co_return refuse(exchange,
-                         { RefusalCode::Unsure, base::describe(submission.status()), STORE_RETRY });
-    const auto &items = (*submission)->items;
-    const auto found = std::ranges::find(items, exchange.call.itemId, &version::batch::Item::id);
-    const auto index = static_cast<std::size_t>(found - items.begin());
-    if (found == items.end() || batch->listed[index] || batch->ended)
-        co_return refuse(exchange,
-                         { RefusalCode::NoBatch, "the item is unknown, listed or ended" });
-    auto answer = Answer();
-    answer.body = found->body;
-    answer.headers.push_back({ "Content-Type", "application/octet-stream" });
-    co_return answer;
-}
-
-auto CallService::endBatch(const Exchange &exchange, const std::string &key)
-    -> asio::awaitable<Answer>
-{
-    if (m_parts.batches.log().find(key)->ended)
-        co_return http::jsonResponse(STATUS_OK, "{}");
-    const auto result = co_await m_parts.batches.end(key);
-    logging::info(
-        "batch.end_requested",
-        { { "batch", exchange.call.batchId },
-          { "workspace", exchange.caller.workspace },
-          { "outcome", base::nameOf(version::journal::APPEND_OUTCOME_NAMES, result.outcome) } });
-    if (result.outcome == AppendOutcome::Done)
-        co_return http::jsonResponse(STATUS_OK, "{}");
-    if (result.outcome == AppendOutcome::NotWritten || result.outcome == AppendOutcome::Rejected)
-        co_return refuse(exchange, { RefusalCode::StoreUnavailable, result.detail, STORE_RETRY });
-    co_return refuse(exchange, { RefusalCode::Unknown, result.detail });
-}
-
 } // namespace nutmegplank::app::node
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -2,9 +2,10 @@
 
 #include <functional>
 #include <memory>
-#include <variant>
 
+#include "app/node/batchcalls.h"
 #include "app/node/batchstore.h"
+#include "app/node/exchange.h"
 #include "app/node/relay.h"
 #include "connection/http/ihttpresponder.h"
 #include "process/clock/truetime.h"
@@ -46,15 +47,6 @@
         -> boost::asio::awaitable<void>;
 
 private:
-    //! One call with what was found out about it.
-    struct Exchange
-    {
-        request::call::Call call;
-        version::routing::RoutingTablePtr table;
-        version::routing::Owner caller;
-        base::TimePoint receivedAt {};
-    };
-
     using Answer = connection::http::Response;
     using HandlePtr = std::shared_ptr<request::forward::ForwardHandle>;
 
@@ -79,22 +71,12 @@
         -> boost::asio::awaitable<std::optional<bool>>;
     auto noteKept(const Exchange &exchange, const version::journal::AppendResult &result) const
         -> void;
-    auto batchCall(const Exchange &exchange) -> boost::asio::awaitable<Answer>;
-    //! Returns the key of the batch that the call is on, or why the call is refused.
-    auto findBatch(const Exchange &exchange)
-        -> boost::asio::awaitable<std::variant<std::string, request::call::Refusal>>;
-    auto hasReadLog(const version::routing::Owner &caller) -> boost::asio::awaitable<bool>;
-    auto readResults(const Exchange &exchange, const std::string &key)
-        -> boost::asio::awaitable<Answer>;
-    auto readBody(const Exchange &exchange, const std::string &key)
-        -> boost::asio::awaitable<Answer>;
-    auto endBatch(const Exchange &exchange, const std::string &key)
-        -> boost::asio::awaitable<Answer>;
-    auto refuse(const Exchange &exchange, request::call::Refusal refusal) const -> Answer;
+    auto refuse(const Exchange &exchange, const request::call::Refusal &refusal) const -> Answer;
     auto noteAnswer(const Exchange &exchange, std::uint32_t status, std::string_view outcome,
                     std::string_view server = {}, std::uint32_t attempts = 0) const -> void;
 
     CallServiceParts m_parts;
+    BatchCalls m_batchCalls;
     process::metrics::Counter &m_answered;
     process::metrics::Counter &m_refused;
     process::metrics::Distribution &m_seconds;
