Test of the use of open routes in the standalone programs

Cause: that use of an open route belongs to the key that came along was shown by a unit test of the admission alone.

Change: an integration test with real programs: three requests with a key and three without, and the windows reported for the key's workspace.

--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -45,6 +45,18 @@
         self.assertEqual(self.cluster.call(0, "GET", "/catalogue/mats", key="wrong").status, 401)
         self.assertEqual(self.cluster.call(0, "GET", "/nowhere", key=self.key).status, 404)
 
+    def test_use_of_an_open_route_belongs_to_the_key_that_came_along(self):
+        """It was the route's workspace's, and so was the share of the servers that it took."""
+        other = self.cluster.deployment.workspaces[1]
+        for number in range(6):
+            key = self.cluster.deployment.key_of(other) if number % 2 == 0 else None
+            self.assertEqual(self.cluster.call(0, "GET", f"/catalogue/mats{number}", key=key).status, 200)
+
+        def used(workspace):
+            return sum(figure["requests"] for window in self.cluster.stats("usage")["windows"]
+                       for figure in window["figures"] if figure["workspace"] == workspace)
+        eventually(lambda: used(other) == 3, 20, what="three requests in the windows of the key's workspace")
+
 
 if __name__ == "__main__":
     unittest.main()
