Test of submissions that another machine keeps

Cause: whose a submission is had been asked at machines that reach the store only; one that does not hands it on to another machine, which decides anew.

Change: Relayed.*: tenants and a caller without a key submit batches of one id on a public route, through a machine that is cut off from the store.

--- a/tests/integration/test_ownership.py
+++ b/tests/integration/test_ownership.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+from platformworld.paths import PathsWorld
 from platformworld.texts import software_of
 from platformworld.world import HOST, MODEL, World, eventually
 
@@ -35,10 +36,10 @@
 
 
 class OwnershipCase(unittest.TestCase):
-    ENGINES, SCORERS = 3, 0
+    WORLD, ENGINES, SCORERS = World, 3, 0
 
     def setUp(self):
-        self.world = World(engines=self.ENGINES, scorers=self.SCORERS)
+        self.world = self.WORLD(engines=self.ENGINES, scorers=self.SCORERS)
         self.addCleanup(self.finish)
         self.nodes = self.world.nodes
         for engine in self.world.engines:
@@ -465,6 +466,28 @@
         self.assertLess(min(eventually(held, 5, "a log line for each call")), ARRIVAL_MS)
 
 
+class Relayed(OwnershipCase):
+    WORLD = PathsWorld
+    ITEMS = 4
+
+    def test_batches_that_another_machine_keeps_belong_to_the_key_that_came_with_them(self):
+        """A machine that does not reach the store hands submissions on to one that does."""
+        self.configure(ALL_ROUTES)
+        cut = self.nodes[0]
+        self.world.cut.add(cut.name)
+        eventually(lambda: self.submit(cut, "first", self.batch("first", 1), AMEND) == 202, 10, "a submission relayed")
+        for key, tenant in KEYS.items():
+            self.assertEqual(self.submit(cut, "same", self.batch(f"{tenant}", self.ITEMS), key), 202)
+        self.assertEqual(self.submit(cut, "x", self.batch("x", 1), STRANGER), 401)
+        self.world.cut.clear()
+        # Until it has read the store again it can't be sure and says so.
+        eventually(lambda: self.read(cut, "first", AMEND)[0] == 200, 10, "the machine is back")
+        for key, tenant in KEYS.items():
+            self.check_whole("same", key, f"{tenant}", self.ITEMS)
+            self.check_items(f"{tenant}", tenant)
+        self.assertFalse(self.runs("x"))
+
+
 class Scores(OwnershipCase):
     SCORERS = 2
     ITEMS = 6
