Log lines name batches by their id

Operators found "batch":"b1 amend" in rollout.run_ended, rollout.software_changed and scoring.call_ended, where the other lines have the id alone, so that a batch could not be followed through the log.

Evidence: test_tenants_that_choose_the_same_id_have_batches_of_their_own compares the batch's name in four kinds of lines now; it failed before (rollout.run_ended) and passes now.

--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -348,7 +348,7 @@
     m_loadTracker.noteOutcome(server, *item.run, outcome.end, m_dependencies.now());
     logging::info(
         "rollout.run_ended",
-        { { "batch", key.batch },
+        { { "batch", version::batch::idOf(key.batch) },
           { "item", batch.submission->items[key.item].id },
           { "server", server.record.id },
           { "end", base::nameOf(RUN_END_NAMES, outcome.end) },
@@ -362,7 +362,7 @@
     if (changed && mayHoldOtherSoftware(item, outcome.end)) {
         judged.end = RunEnd::Malformed;
         logging::warning("rollout.software_changed",
-                         { { "batch", key.batch },
+                         { { "batch", version::batch::idOf(key.batch) },
                            { "item", batch.submission->items[key.item].id },
                            { "server", server.record.id },
                            { "software", server.record.software } });
--- a/src/request/scoring/scoringrunner.cpp
+++ b/src/request/scoring/scoringrunner.cpp
@@ -232,7 +232,7 @@
     const auto now = m_dependencies.now();
     const auto decision = decideAfterCall(outcome.end, entry.maxAttempts, entry.failures);
     logging::info("scoring.call_ended",
-                  { { "batch", key.batch },
+                  { { "batch", version::batch::idOf(key.batch) },
                     { "item", entry.job.itemId },
                     { "scorer", entry.job.scorer.id },
                     { "server", entry.server },
--- a/tests/integration/test_ownership.py
+++ b/tests/integration/test_ownership.py
@@ -330,6 +330,9 @@
         for name, tenant in (("amend", "amend"), ("cafe", "cafe"), ("None", None)):
             self.check_items(name, tenant)
         self.assertEqual(len(self.runs("amend")), self.ITEMS)
+        for event in ("rollout.placed", "rollout.run_ended", "batch.read", "rollout.batch_opened"):
+            named = {line["batch"] for node in self.nodes for line in node.events(event)}
+            self.assertEqual(named, {"same"}, event)
         for node in self.nodes:
             node.kill()
         for node in self.nodes:
