--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,133 +1,113 @@
-"""All machines are without power for longer than the store keeps records. The log of the lease is empty when they are
-back, no machine finds its end, and none is ever in charge again: steps are accepted and never run."""
+"""Two items that are larger than an engine's memory keep two engines of three from all other items: each time such an
+engine is free it gets one of them, rejects it as if it were full, and counts as full."""
 
-import collections
 import pathlib
+import statistics
 import threading
 import time
 
-from deployment import TROUBLE, Deployment, eventually, play, read_all, rollout_item, submission, submit
+from platformworld.httpd import Answer
 
-#: "20 s of history", the store's on the sheets; DEPLOY.md shows 300 s.
-RETENTION_SECONDS = 20
-OUTAGE_SECONDS = 26
-GROUPS, GROUP_SIZE = 6, 8
-STEP_EVERY, STEP_SECONDS, STEPS_AFTER = 4, 12, 8
-ORDERS_PER_SECOND = 4
-LONGEST_START = 10
+from deployment import KEY, TROUBLE, Deployment, play, read_all, rollout_item, submission, submit
 
+GUEST_KEY = "key-two"
+ENGINES, SLOTS = 3, 8
+#: Of an engine; "kv_cache_tokens" in the configuration, and what the engines go by.
+MEMORY_TOKENS = 40_000
+LARGE_PROMPT, SMALL_PROMPT, OUTPUT = 59_800, 250, 200
+#: One fewer than there are engines; with one for each engine no other item is begun at all.
+GUEST_ITEMS = ENGINES - 1
+GROUPS, GROUP_SIZE, STEP_SECONDS, UNTOUCHED_SECONDS = 50, 8, 12, 5
+PACE = 0.05  #: Seconds an event.
 
-class Expiring(Deployment):
-    """Its store lets the records of a partition expire as PROTOCOL.md says; the newest of each key stays."""
 
-    retention_s, status_s = RETENTION_SECONDS, RETENTION_SECONDS
+class Shared(Deployment):
+    """Two tenants, each with a trainer. The engines do as PROTOCOL.md says: "A request that is larger than a worker's
+    memory is rejected as if it were full.\""""
+
+    def configuration(self) -> dict:
+        return {**super().configuration(), "tenants": [{"name": "amend", "api_keys": [KEY]},
+                                                       {"name": "guest", "api_keys": [GUEST_KEY]}]}
 
     def prepare(self) -> None:
-        self.marks: dict = collections.defaultdict(collections.deque)
-        threading.Thread(target=self.expire_loop, daemon=True).start()
-
-    def expire_loop(self) -> None:
-        while not self.ended:
-            self.loop.loop.call_soon_threadsafe(self.expire, time.monotonic())
-            time.sleep(0.1)
-
-    def expire(self, now: float) -> None:
-        for name, partition in self.store.partitions.items():
-            marks = self.marks[name]
-            marks.append((now, partition.end))
-            while len(marks) > 1 and marks[1][0] <= now - RETENTION_SECONDS:
-                marks.popleft()
-            if marks[0][0] <= now - RETENTION_SECONDS:
-                partition.trim(marks[0][1])
-
-
-class Served:
-    """Requests that were asked and served, by kind."""
-
-    def __init__(self) -> None:
-        self.asked: collections.Counter = collections.Counter()
-        self.served: collections.Counter = collections.Counter()
-
-    def share(self, kind: str | None = None) -> float:
-        asked = sum(self.asked.values()) if kind is None else self.asked[kind]
-        served = sum(self.served.values()) if kind is None else self.served[kind]
-        return served / max(1, asked)
-
-
-def send_orders(world, served: Served, seconds: float) -> None:
-    end = time.monotonic() + seconds
-    number = 0
-    while time.monotonic() < end:
-        served.asked["order"] += 1
-        for attempt in range(2):
-            try:
-                machine = world.nodes[(number + attempt) % len(world.nodes)]
-                if machine.call("POST", "/orders/1", b"mats", timeout=1.5)[0] == 200:
-                    served.served["order"] += 1
-                    break
-            except OSError:
-                pass
-        number += 1
-        time.sleep(1 / ORDERS_PER_SECOND)
-
-
-def run_step(world, record, served: Served, step: int) -> None:
-    items = [rollout_item(f"s{step}i{item}", f"s{step}g{item // GROUP_SIZE}", b"prompt")
-             for item in range(GROUPS * GROUP_SIZE)]
-    batch, end = f"step{step}", time.monotonic() + STEP_SECONDS
-    served.asked["step"] += 1
+        self.rejected = 0
+        for engine in self.engines:
+            engine.pace, engine.serve = PACE, self.serve_at(engine.serve)
+
+    def serve_at(self, serve_sound):
+        async def serve(request) -> Answer:
+            usage = request.headers.get("x-token-usage")
+            if usage is not None and sum(int(count) for count in usage.split(",")) > MEMORY_TOKENS:
+                self.rejected += 1
+                return Answer(503, {"X-Request-Id": request.headers["x-request-id"], "X-Not-Executed": "1"})
+            return await serve_sound(request)
+        return serve
+
+
+class Watch:
+    """How many runs the engines have at a time."""
+
+    def __init__(self, engines) -> None:
+        self.samples: list[tuple[float, int]] = []
+        threading.Thread(target=self.loop, args=(engines,), daemon=True).start()
+
+    def loop(self, engines) -> None:
+        while True:
+            self.samples.append((time.monotonic(), sum(engine.running for engine in engines)))
+            time.sleep(0.05)
+
+    def mean(self, start: float, end: float) -> float:
+        return statistics.mean(running for at, running in self.samples if start <= at <= end)
+
+
+def play_step(world: Shared, watch: Watch, record, step: int) -> bool:
+    """Whether no item of the step was left lying as LOST forbids."""
+    batch = f"step{step}"
+    items = [rollout_item(f"s{step}i{number}", f"s{step}g{number // GROUP_SIZE}", b"prompt" * 100)
+             for number in range(GROUPS * GROUP_SIZE)]
+    began = time.monotonic()
     status = submit(world.nodes[step % 3], batch, submission(items, GROUPS, step))
-    results: list = []
-    while status == 202 and time.monotonic() < end and len(results) < len(items):
+    record.note(f"trainer of amend sends {batch} with {len(items)} items: {status}")
+    while status == 202 and time.monotonic() < began + STEP_SECONDS:
+        if len(read_all(world.nodes, batch)) == len(items):
+            record.note(f"{batch} is whole after {time.monotonic() - began:.1f} s")
+            break
         time.sleep(0.5)
-        results = read_all(world.nodes, batch)
-    whole = len(results) == len(items)
-    served.served["step"] += whole
-    ids = {item["id"] for item in items}
-    begun = len({run["id"] for engine in world.engines for run in engine.requests if run["id"] in ids})
-    record.note(f"{batch}: submission answered {status}, {begun} of {len(items)} items begun, {len(results)} listed")
-    try:
-        world.nodes[step % 3].call("DELETE", f"/v1/lots/{batch}")
-    except OSError:
-        pass
+    ended = time.monotonic()
+    results = read_all(world.nodes, batch)
+    runs = {run["id"] for engine in world.engines for run in engine.requests}
+    names = [item["id"] for item in items]
+    begun = [name for name in names if name in runs]
+    # At no server for the last 5 s: never run at all.
+    untouched = [name for name in names if name not in runs]
+    in_use = watch.mean(ended - UNTOUCHED_SECONDS, ended)
+    record.note(f"{batch}: {len(results)} items listed, {len(begun)} begun, {len(untouched)} never at a server; in its "
+                f"last {UNTOUCHED_SECONDS} s {in_use:.1f} of {ENGINES * SLOTS} slots were in use on average")
+    world.nodes[0].call("DELETE", f"/v1/lots/{batch}")
+    lost = ended - began >= STEP_SECONDS and untouched and begun and in_use < ENGINES * SLOTS / 2
+    if lost:
+        record.note(f"LOST: {batch} ran out of time; {len(untouched)} of its items were at no server")
+    return not lost
 
 
 def case(record) -> bool:
-    world, served = Expiring(nodes=3, engines=3), Served()
-    orders = threading.Thread(target=send_orders, args=(world, served, STEP_EVERY))
-    orders.start()
-    run_step(world, record, served, 0)
-    orders.join()
-    if TROUBLE:
-        for machine in world.nodes:
-            machine.kill()
-        record.note(f"all machines lose power for {OUTAGE_SECONDS} s; the store keeps records for {RETENTION_SECONDS} s")
-    time.sleep(OUTAGE_SECONDS)
-    if TROUBLE:
-        for machine in world.nodes:
-            machine.start()
-        for machine in world.nodes:
-            eventually(machine.ready, LONGEST_START, f"{machine.name} is ready")
-        record.note("all machines are back and say that they are ready")
-    time.sleep(4)
-    seconds = STEP_EVERY * (STEPS_AFTER - 1) + STEP_SECONDS
-    orders = threading.Thread(target=send_orders, args=(world, served, seconds))
-    orders.start()
-    steps = []
-    for step in range(1, STEPS_AFTER + 1):
-        steps.append(threading.Thread(target=run_step, args=(world, record, served, step)))
-        steps[-1].start()
-        time.sleep(STEP_EVERY)
-    for thread in [*steps, orders]:
-        thread.join()
-    lease = world.store.partition("nutmegplank", 1)
-    record.note(f"the lease's partition holds the records {lease.first} to {lease.end}, without the last")
-    record.note(f"served: {dict(served.served)} of {dict(served.asked)}")
-    starved = served.share("step") < served.share() / 4
-    if starved:
-        record.note(f"STARVED: {served.share('step'):.2f} of the steps are served, {served.share():.2f} of all requests")
+    world = Shared(nodes=3, engines=ENGINES)
+    watch = Watch(world.engines)
+    held = play_step(world, watch, record, 0)
+    prompt = LARGE_PROMPT if TROUBLE else SMALL_PROMPT
+    guest = [rollout_item(f"guest{number}", f"guest{number}", b"prompt") for number in range(GUEST_ITEMS)]
+    for item in guest:
+        item["headers"]["X-Token-Usage"], item["tokens"] = f"{prompt},{OUTPUT}", prompt + OUTPUT
+    status = submit(world.nodes[1], "guest", submission(guest, len(guest)), key=GUEST_KEY)
+    record.note(f"trainer of guest sends {len(guest)} items of {prompt + OUTPUT} tokens: {status}")
+    time.sleep(2)
+    held = play_step(world, watch, record, 1) and held
+    record.note(f"the engines rejected items of guest {world.rejected} times")
+    record.note(f"guest ends its batch: {world.nodes[1].call('DELETE', '/v1/lots/guest', key=GUEST_KEY)[0]}")
+    time.sleep(1)
+    play_step(world, watch, record, 2)
     world.close()
-    return not starved
+    return held
 
 
 play(str(pathlib.Path(__file__).parent), case)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,111 +1,116 @@
-"""Two items that are larger than an engine's memory keep two engines of three from all other items: each time such an
-engine is free it gets one of them, rejects it as if it were full, and counts as full."""
+"""A machine that is stopped as planned takes requests that it cannot finish: a server runs them, and the caller's
+connection is closed without an answer."""
 
+import asyncio
+import http.client
 import pathlib
-import statistics
+import signal
 import threading
 import time
 
 from platformworld.httpd import Answer
 
-from deployment import KEY, TROUBLE, Deployment, play, read_all, rollout_item, submission, submit
+from deployment import HOST, KEY, TROUBLE, Deployment, play
 
-GUEST_KEY = "key-two"
-ENGINES, SLOTS = 3, 8
-#: Of an engine; "kv_cache_tokens" in the configuration, and what the engines go by.
-MEMORY_TOKENS = 40_000
-LARGE_PROMPT, SMALL_PROMPT, OUTPUT = 59_800, 250, 200
-#: One fewer than there are engines; with one for each engine no other item is begun at all.
-GUEST_ITEMS = ENGINES - 1
-GROUPS, GROUP_SIZE, STEP_SECONDS, UNTOUCHED_SECONDS = 50, 8, 12, 5
-PACE = 0.05  #: Seconds an event.
+GRACE_SECONDS = 8
+#: Callers keep the directory's answer for three times its 2 s at most.
+CALLERS, CALLING_SECONDS = 6, 5.9
+SHORT_WORK, LONG_WORK = 0.15, 5.0
+DEADLINE_MS = 9000
+#: Seconds after the SIGTERM; the rule excuses requests that are sent until 3 s after it.
+LONG_AT = (3.2, 3.4, 3.6, 3.8)
 
 
-class Shared(Deployment):
-    """Two tenants, each with a trainer. The engines do as PROTOCOL.md says: "A request that is larger than a worker's
-    memory is rejected as if it were full.\""""
-
-    def configuration(self) -> dict:
-        return {**super().configuration(), "tenants": [{"name": "amend", "api_keys": [KEY]},
-                                                       {"name": "guest", "api_keys": [GUEST_KEY]}]}
+class Desk(Deployment):
+    """Orders may run once at most; some of them take longer than others."""
 
     def prepare(self) -> None:
-        self.rejected = 0
-        for engine in self.engines:
-            engine.pace, engine.serve = PACE, self.serve_at(engine.serve)
+        for server in self.plains:
+            server.ends = {}
+            server.serve = self.serve_at(server)
 
-    def serve_at(self, serve_sound):
+    def serve_at(self, server):
         async def serve(request) -> Answer:
-            usage = request.headers.get("x-token-usage")
-            if usage is not None and sum(int(count) for count in usage.split(",")) > MEMORY_TOKENS:
-                self.rejected += 1
-                return Answer(503, {"X-Request-Id": request.headers["x-request-id"], "X-Not-Executed": "1"})
-            return await serve_sound(request)
+            name = request.headers.get("x-request-id", "")
+            server.requests.append({"id": name, "at": time.monotonic()})
+            await asyncio.sleep(LONG_WORK if name.startswith("long") else SHORT_WORK)
+            server.ends[name] = time.monotonic()
+            return Answer(200, server.stamp(request), b"confirmed")
         return serve
 
 
-class Watch:
-    """How many runs the engines have at a time."""
-
-    def __init__(self, engines) -> None:
-        self.samples: list[tuple[float, int]] = []
-        threading.Thread(target=self.loop, args=(engines,), daemon=True).start()
-
-    def loop(self, engines) -> None:
-        while True:
-            self.samples.append((time.monotonic(), sum(engine.running for engine in engines)))
-            time.sleep(0.05)
-
-    def mean(self, start: float, end: float) -> float:
-        return statistics.mean(running for at, running in self.samples if start <= at <= end)
-
-
-def play_step(world: Shared, watch: Watch, record, step: int) -> bool:
-    """Whether no item of the step was left lying as LOST forbids."""
-    batch = f"step{step}"
-    items = [rollout_item(f"s{step}i{number}", f"s{step}g{number // GROUP_SIZE}", b"prompt" * 100)
-             for number in range(GROUPS * GROUP_SIZE)]
-    began = time.monotonic()
-    status = submit(world.nodes[step % 3], batch, submission(items, GROUPS, step))
-    record.note(f"trainer of amend sends {batch} with {len(items)} items: {status}")
-    while status == 202 and time.monotonic() < began + STEP_SECONDS:
-        if len(read_all(world.nodes, batch)) == len(items):
-            record.note(f"{batch} is whole after {time.monotonic() - began:.1f} s")
-            break
-        time.sleep(0.5)
-    ended = time.monotonic()
-    results = read_all(world.nodes, batch)
-    runs = {run["id"] for engine in world.engines for run in engine.requests}
-    names = [item["id"] for item in items]
-    begun = [name for name in names if name in runs]
-    # At no server for the last 5 s: never run at all.
-    untouched = [name for name in names if name not in runs]
-    in_use = watch.mean(ended - UNTOUCHED_SECONDS, ended)
-    record.note(f"{batch}: {len(results)} items listed, {len(begun)} begun, {len(untouched)} never at a server; in its "
-                f"last {UNTOUCHED_SECONDS} s {in_use:.1f} of {ENGINES * SLOTS} slots were in use on average")
-    world.nodes[0].call("DELETE", f"/v1/lots/{batch}")
-    lost = ended - began >= STEP_SECONDS and untouched and begun and in_use < ENGINES * SLOTS / 2
-    if lost:
-        record.note(f"LOST: {batch} ran out of time; {len(untouched)} of its items were at no server")
-    return not lost
+def order(machine, name: str, connection=None) -> str:
+    """One order; its status, or how its connection ended."""
+    connection = connection or http.client.HTTPConnection(machine.ip, machine.ports["front"], timeout=12)
+    try:
+        connection.request("POST", "/once/1", b"mats", {
+            "Host": HOST, "Authorization": f"Bearer {KEY}", "X-Request-Id": name, "X-Deadline-Ms": str(DEADLINE_MS)})
+    except OSError as problem:
+        return f"not sent: {type(problem).__name__}"
+    try:
+        answer = connection.getresponse()
+        answer.read()
+        return str(answer.status)
+    except (OSError, http.client.HTTPException) as problem:
+        return f"no answer: {type(problem).__name__}"
+    finally:
+        connection.close()
 
 
 def case(record) -> bool:
-    world = Shared(nodes=3, engines=ENGINES)
-    watch = Watch(world.engines)
-    held = play_step(world, watch, record, 0)
-    prompt = LARGE_PROMPT if TROUBLE else SMALL_PROMPT
-    guest = [rollout_item(f"guest{number}", f"guest{number}", b"prompt") for number in range(GUEST_ITEMS)]
-    for item in guest:
-        item["headers"]["X-Token-Usage"], item["tokens"] = f"{prompt},{OUTPUT}", prompt + OUTPUT
-    status = submit(world.nodes[1], "guest", submission(guest, len(guest)), key=GUEST_KEY)
-    record.note(f"trainer of guest sends {len(guest)} items of {prompt + OUTPUT} tokens: {status}")
-    time.sleep(2)
-    held = play_step(world, watch, record, 1) and held
-    record.note(f"the engines rejected items of guest {world.rejected} times")
-    record.note(f"guest ends its batch: {world.nodes[1].call('DELETE', '/v1/lots/guest', key=GUEST_KEY)[0]}")
-    time.sleep(1)
-    play_step(world, watch, record, 2)
+    world = Desk(nodes=3, engines=1, plains=3)
+    machine = world.nodes[0]
+    stopped: list[float] = []
+
+    def call_steadily(caller: int) -> None:
+        number = 0
+        while not stopped or time.monotonic() < stopped[0] + CALLING_SECONDS:
+            order(machine, f"short{caller}.{number}")
+            number += 1
+
+    callers = [threading.Thread(target=call_steadily, args=(caller,)) for caller in range(CALLERS)]
+    for caller in callers:
+        caller.start()
+    time.sleep(3)
+    # Connections that are open when the stop begins.
+    connections = []
+    for _ in LONG_AT:
+        connections.append(http.client.HTTPConnection(machine.ip, machine.ports["front"], timeout=12))
+        connections[-1].connect()
+    stopped.append(time.monotonic())
+    if TROUBLE:
+        machine.signal(signal.SIGTERM)
+        record.note(f"SIGTERM to {machine.name}, grace_s is {GRACE_SECONDS}")
+    outcomes: dict[str, str] = {}
+
+    def order_long(number: int) -> None:
+        name = f"long{number}"
+        sent = time.monotonic() - stopped[0]
+        outcomes[name] = order(machine, name, connections[number])
+        record.note(f"{name}: sent {sent:.2f} s after the stop began, ended {time.monotonic() - stopped[0]:.2f} s "
+                    f"after it: {outcomes[name]}")
+
+    longs = []
+    for number, at in enumerate(LONG_AT):
+        time.sleep(max(0.0, stopped[0] + at - time.monotonic()))
+        longs.append(threading.Thread(target=order_long, args=(number,)))
+        longs[-1].start()
+    for thread in longs + callers:
+        thread.join()
+    if TROUBLE:
+        machine.popen.wait(GRACE_SECONDS)
+        record.note(f"{machine.name} ended {time.monotonic() - stopped[0]:.1f} s after the stop began, "
+                    f"status {machine.popen.returncode}")
+    time.sleep(LONG_WORK)
+    held = True
+    for name, outcome in outcomes.items():
+        ran = [(server.name, run["at"] - stopped[0]) for server in world.plains for run in server.requests
+               if run["id"] == name]
+        for server, at in ran:
+            record.note(f"{name}: {server} began it {at:.2f} s after the stop began")
+        if ran and outcome.startswith("no answer"):
+            record.note(f"LOST: {name} was passed on to {ran[0][0]} and its connection ended without an answer")
+            held = False
     world.close()
     return held
 
