--- a/review/13/case.py
+++ b/review/13/case.py
@@ -68,7 +68,9 @@
     began = time.monotonic()
     status = submit(world.nodes[step % 3], batch, submission(items, GROUPS, step))
     record.note(f"trainer of amend sends {batch} with {len(items)} items: {status}")
-    while status == 202 and time.monotonic() < began + STEP_SECONDS:
+    if status != 202:
+        raise RuntimeError(f"{batch} was not accepted")
+    while time.monotonic() < began + STEP_SECONDS:
         if len(read_all(world.nodes, batch)) == len(items):
             record.note(f"{batch} is whole after {time.monotonic() - began:.1f} s")
             break
@@ -86,6 +88,7 @@
     world.nodes[0].call("DELETE", f"/v1/lots/{batch}")
     lost = ended - began >= STEP_SECONDS and untouched and begun and in_use < ENGINES * SLOTS / 2
     if lost:
+        record.note(f"at no server: {' '.join(untouched)}")
         record.note(f"LOST: {batch} ran out of time; {len(untouched)} of its items were at no server")
     return not lost
 
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -65,8 +65,11 @@
     def call_steadily(caller: int) -> None:
         number = 0
         while not stopped or time.monotonic() < stopped[0] + CALLING_SECONDS:
-            order(machine, f"short{caller}.{number}")
+            outcome = order(machine, f"short{caller}.{number}")
             number += 1
+            if outcome != "200":  # Callers go to another machine then.
+                break
+        record.note(f"caller {caller} has sent {number} short orders, the last one: {outcome}")
 
     callers = [threading.Thread(target=call_steadily, args=(caller,)) for caller in range(CALLERS)]
     for caller in callers:
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -88,6 +88,7 @@
     running: list["Deployment"] = []
 
     ended = False
+    HEARTBEAT_SECONDS = 1.2
     RETENTION_SECONDS = 40  # Of items, as in the sheet of cwmteg-orders.
     memory_mb, status_s, retention_s = 270, 120, 300
 
@@ -95,6 +96,15 @@
         Deployment.running.append(self)
         self.nodes = [Machine(self, number) for number in range(len(self.nodes))]
         self.prepare()
+        threading.Thread(target=self.heartbeats, daemon=True).start()
+
+    def heartbeats(self) -> None:
+        """The servers write their entries again and again, as PROTOCOL.md says."""
+        while not self.ended:
+            for server in [*self.engines, *self.plains]:
+                if server.up and not server.dark:
+                    self.loop.loop.call_soon_threadsafe(server.announce)
+            time.sleep(self.HEARTBEAT_SECONDS)
 
     def prepare(self) -> None:
         """For cases that change the stand-ins before the machines start."""
