Requests that are too large for a server hold back no smaller ones

Cause: a server refuses what is larger than its memory in the same words as what it has no room for. Each refusal counted as "full": the server got nothing from anybody for 60 ms, and then the same item, which is due first, again. Ruled out: slots held by the large items (their refusals take a millisecond, 8 of 24 slots were in use).

Change: RefusedSizes keeps the largest size that each server has taken. Its refusal of a request within it means that it is full, as before. Its refusal of a larger one holds back requests as large or larger for 60 ms to 2 s. Items, with the text that they go on with, forwarded requests and scoring calls use it.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -324,6 +324,7 @@
         const auto now = process::clock::now();
         m_parts.batches.requestFastRetries(now);
         if (!relayed && now >= nextRelay) {
+    call.size = exchange.call.size;
             const auto elsewhere = co_await m_parts.relay.send(request);
             if (elsewhere.end == RelayEnd::Answered)
                 co_return m_parts.protocol.writeAccepted(id);
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -351,6 +351,7 @@
     const auto *known = m_servers.find(id);
     if (known != nullptr && known->record.incarnation != incarnation) {
         m_health.limits().forget(id, now);
+        m_health.forgetSizes(id);
         m_suspects.noteProcessEnded(id, known->record.incarnation, now);
     }
     for (const auto &[model, version] : server->modelVersion)
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -33,6 +33,9 @@
 //! Stays below the limit of 1 MB of results in a response.
 constexpr auto MAX_RESULT_BYTES = std::size_t(900'000);
 constexpr auto STATUS_OK = 200U;
+constexpr auto STATUS_ACCEPTED = 202U;
+//! Larger figures are no counts of tokens.
+constexpr auto MOST_TOKENS = std::uint64_t(1) << 40;
 
 auto parseUnsigned(std::string_view text) -> std::optional<std::uint64_t>
 {
@@ -118,6 +121,23 @@
 
 auto itemHeader(const version::batch::Item &item, std::string_view name) -> std::string
 {
+//! "prompt tokens,maximum output tokens"; zeros if there are none.
+auto readTokenUsage(std::string_view usage) -> process::health::RequestSize
+{
+    auto size = process::health::RequestSize();
+    const auto comma = usage.find(',');
+    if (comma == std::string_view::npos)
+        return size;
+    const auto prompt = parseUnsigned(trimmed(usage.substr(0, comma)));
+    const auto output = parseUnsigned(trimmed(usage.substr(comma + 1)));
+    if (!prompt.has_value() || !output.has_value() || *output > MOST_TOKENS
+        || *prompt > MOST_TOKENS)
+        return size;
+    size.contextTokens = *prompt;
+    size.totalTokens = *prompt + *output;
+    return size;
+}
+
     return http::headerValue(item.headers, name);
 }
 
@@ -204,6 +224,9 @@
     call.streamBegunBy = http::headerValue(request.headers, wireheaders::RESUMES);
     if (call.path.starts_with(BATCH_PREFIX) && request.method == "GET") {
         call.kind = CallKind::ReadResults;
+    call.size = readTokenUsage(http::headerValue(request.headers, wireheaders::TOKEN_USAGE));
+    if (call.size.totalTokens == 0)
+        call.size.bodyBytes = request.body.size();
         call.batchId = call.path.substr(BATCH_PREFIX.size());
         call.position = parseUnsigned(http::queryValue(request.target, "after")).value_or(0);
     } else if (call.path.starts_with(BATCH_PREFIX) && request.method == "DELETE") {
--- a/src/process/health/serverhealth.cpp
+++ b/src/process/health/serverhealth.cpp
@@ -74,6 +74,38 @@
     m_entries[server].fullUntil = now + m_times.fullPause;
 }
 
+auto ServerHealth::noteTaken(const std::string &server, const RequestSize &size) -> void
+{
+    m_refusedSizes.noteTaken(server, size);
+}
+
+auto ServerHealth::noteRefused(const std::string &server, const RequestSize &size,
+                               base::TimePoint sentAt, base::TimePoint now) -> void
+{
+    if (m_refusedSizes.noteRefused(server, size, sentAt, now) == RefusalCause::Full)
+        noteFull(server, now);
+}
+
+auto ServerHealth::refusedSizes(const std::string &server, base::TimePoint now) const
+    -> std::vector<RequestSize>
+{
+    return m_refusedSizes.refused(server, now);
+}
+
+auto ServerHealth::mayTake(const std::string &server, const RequestSize &size,
+                           base::TimePoint now) const -> bool
+{
+    return std::ranges::none_of(refusedSizes(server, now), [&](const RequestSize &refused) {
+        return isAsLargeAs(size, refused);
+    });
+}
+
+auto ServerHealth::forget(const std::string &server) -> void
+{
+    m_entries.erase(server);
+    m_refusedSizes.forget(server);
+}
+
 auto ServerHealth::noteWrongServer(const std::string &server, base::TimePoint now) -> void
 {
     m_entries[server].pausedUntil = now + m_times.wrongServerPause;
--- a/src/process/health/serverhealth.h
+++ b/src/process/health/serverhealth.h
@@ -3,8 +3,10 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/timepoint.h"
+#include "process/health/refusedsizes.h"
 #include "process/requestlimits/requestlimits.h"
 
 //! Backend servers as requests find them; what a server says of itself stands in the server table.
@@ -47,13 +49,27 @@
     auto noteStart(const std::string &server, base::TimePoint now) -> void;
     auto noteAnswer(const std::string &server) -> void;
     auto noteFull(const std::string &server, base::TimePoint now) -> void;
+    //! The server began to run a request of \a size.
+    auto noteTaken(const std::string &server, const RequestSize &size) -> void;
+    //! The server refused a request that was sent at \a sentAt: it is full, or the request is too
+    //! large for it, which does not count against others.
+    auto noteRefused(const std::string &server, const RequestSize &size, base::TimePoint sentAt,
+                     base::TimePoint now) -> void;
+    //! Sizes for which the server refuses requests now; see RefusedSizes.
+    auto refusedSizes(const std::string &server, base::TimePoint now) const
+        -> std::vector<RequestSize>;
+    //! Whether the server has not refused a request of \a size a moment ago.
+    auto mayTake(const std::string &server, const RequestSize &size, base::TimePoint now) const
+        -> bool;
     auto noteWrongServer(const std::string &server, base::TimePoint now) -> void;
     //! No connection could be made; includes noteLost().
     auto noteUnreachable(const std::string &server, const ColdRule &rule, base::TimePoint now)
         -> void;
     //! Refused, reset or silent: it may have restarted, and is cold then.
     auto noteLost(const std::string &server, const ColdRule &rule, base::TimePoint now) -> void;
-    auto forget(const std::string &server) -> void { m_entries.erase(server); }
+    auto forget(const std::string &server) -> void;
+    //! Another process has the server's id now, perhaps with another memory.
+    auto forgetSizes(const std::string &server) -> void { m_refusedSizes.forget(server); }
     //! Request limits that the servers have named.
     auto limits() -> requestlimits::RequestLimits & { return m_limits; }
     auto limits() const -> const requestlimits::RequestLimits & { return m_limits; }
@@ -71,6 +87,7 @@
 
     HealthTimes m_times;
     requestlimits::RequestLimits m_limits;
+    RefusedSizes m_refusedSizes;
     std::unordered_map<std::string, Entry> m_entries;
 };
 
--- a/src/request/call/call.h
+++ b/src/request/call/call.h
@@ -7,6 +7,7 @@
 #include "base/enumtable.h"
 #include "base/timepoint.h"
 #include "connection/http/message.h"
+#include "process/health/requestsize.h"
 #include "version/batch/batch.h"
 #include "version/routing/credential.h"
 
@@ -37,6 +38,7 @@
     base::Duration timeLeft { 0 }; //!< How long the caller waits; 0 if it sets no limit.
     bool resumesStream = false;    //!< Takes up a stream after its last event.
     std::string streamBegunBy;     //!< Request id of the attempt that began it; empty if not named.
+    process::health::RequestSize size;
     std::string batchId;
     std::string itemId;
     std::uint64_t position = 0; //!< Index of the first result to return.
--- a/src/request/forward/forwardcall.h
+++ b/src/request/forward/forwardcall.h
@@ -6,6 +6,7 @@
 #include "base/enumtable.h"
 #include "base/timepoint.h"
 #include "connection/http/message.h"
+#include "process/health/requestsize.h"
 #include "process/memory/heldbytes.h"
 #include "version/routing/routingtable.h"
 
@@ -16,6 +17,7 @@
 {
     connection::http::Request request; //!< Without the caller's key and hop-by-hop headers.
     std::string requestId;
+    process::health::RequestSize size;
     version::routing::Owner caller;
     version::routing::Route route;
     bool resumesStream = false;  //!< Takes up a stream after its last event.
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -190,6 +190,7 @@
         candidate.tried = progress.tried.contains(id) || progress.unavailable.contains(id)
             || !m_streamVersions.maySend(call, *server)
             || !m_requestBytes.fits(id, call.request.body.size(), machineCount);
+            || !m_dependencies.health.mayTake(id, call.size, now)
         candidates.push_back(std::move(candidate));
     }
     const auto draw = base::hash64(call.requestId, progress.sent);
@@ -379,7 +380,8 @@
         break;
     }
     case AttemptOutcome::NotRun:
-        m_dependencies.health.noteFull(id, now);
+        if (!attempt.faultsRequest)
+            m_dependencies.health.noteRefused(id, call.size, startedAt, now);
         progress.unavailable.insert(id);
         return;
     case AttemptOutcome::Unreachable:
@@ -479,16 +481,19 @@
         answer.end = AttemptOutcome::NotRun;
         answer.detail = base::concat("refused with status ", answer.response.status);
     }
-    if (!metadata.notRun && !metadata.wrongServer && !metadata.fromServer
-        && answer.end == AttemptOutcome::Answered) {
-        answer.end = AttemptOutcome::Lost;
-        answer.detail = "the answer bears no stamp of a server";
-    }
     co_return answer;
 }
 
+    if (metadata.isTaken())
+        m_dependencies.health.noteTaken(serverId, call.size);
+    if (!metadata.notRun && !metadata.wrongServer && !metadata.fromServer) {
+        result.detail = "the answer bears no stamp of a server";
+        result.faultsRequest = metadata.faultsRequest();
+        co_return result;
+    }
 auto Forwarder::readAnswer(const ForwardCall &call, http::IHttpConnection &connection,
                            serverprotocol::OwnResponse own, base::TimePoint until,
+    answer.faultsRequest = metadata.faultsRequest();
                            IAnswerSink &sink) -> asio::awaitable<Attempt>
 {
     // At least 1 ms; the unit is microseconds.
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -104,6 +104,7 @@
         bool reset = false;
         bool refused = false;       //!< Nothing listens at the server's address.
         bool skippedOthers = false; //!< Answers to other requests arrived first.
+        bool faultsRequest = false; //!< The answer says nothing against its server.
         std::string detail;
     };
 
--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -47,12 +47,15 @@
     }
 }
 
-auto EngineLoadTracker::headObserver(const std::string &engine, base::TimePoint sentAt)
-    -> serverprotocol::HeadObserver
+auto EngineLoadTracker::headObserver(const std::string &engine,
+                                     const process::health::RequestSize &size,
+                                     base::TimePoint sentAt) -> serverprotocol::HeadObserver
 {
-    const auto listeners = serverprotocol::HeadListeners { m_servers, m_health.limits() };
-    return [listeners, engine, sentAt](const auto &metadata) {
-        serverprotocol::noteServerHead(listeners, engine, metadata, sentAt, process::clock::now());
+    return [this, engine, size, sentAt](const auto &metadata) {
+        serverprotocol::noteServerHead({ m_servers, m_health.limits() }, engine, metadata, sentAt,
+                                       process::clock::now());
+        if (metadata.isTaken())
+            m_health.noteTaken(engine, size);
     };
 }
 
@@ -84,6 +87,7 @@
         load.slots = record.slots;
         load.running = runningAt(id);
         load.cacheTokens = service->engine->cacheTokens;
+        load.refusedSizes = m_health.refusedSizes(id, now);
         load.slowdown = m_states.slowdown(id);
         load.eventSeconds = m_states.speeds().eventSeconds(id, now);
         if (!m_states.loading(id))
@@ -108,7 +112,7 @@
         m_health.noteAnswer(id);
         return;
     case RunEnd::NotRun:
-        m_health.noteFull(id, now);
+        m_health.noteRefused(id, run.size(), run.startedAt(), now);
         return;
     case RunEnd::WrongServer:
         m_health.noteWrongServer(id, now);
--- a/src/request/rollout/engineloadtracker.h
+++ b/src/request/rollout/engineloadtracker.h
@@ -34,9 +34,10 @@
     auto noteEnd(const std::string &engine) -> void;
     //! Items are waiting that none of \a engines could take.
     auto noteHeldBack(const std::vector<EngineLoad> &engines, base::TimePoint now) -> void;
-    //! Observes the request limit in the response of \a engine to an item sent at \a sentAt.
-    auto headObserver(const std::string &engine, base::TimePoint sentAt)
-        -> serverprotocol::HeadObserver;
+    //! Observes what the response of \a engine to an item of \a size, sent at \a sentAt, says of
+    //! the engine.
+    auto headObserver(const std::string &engine, const process::health::RequestSize &size,
+                      base::TimePoint sentAt) -> serverprotocol::HeadObserver;
     //! Updates the health of \a server from how \a run ended.
     auto noteOutcome(const process::servers::Server &server, const ItemRun &run, RunEnd end,
                      base::TimePoint now) -> void;
--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -40,13 +40,14 @@
 
 } // namespace
 
-ItemRun::ItemRun(http::Request request, std::string requestId,
+ItemRun::ItemRun(http::Request request, std::string requestId, process::health::RequestSize size,
                  std::shared_ptr<Transcript> transcript,
                  const serverprotocol::IServerProtocol &protocol, std::string software,
                  serverprotocol::HeadObserver onHead)
     : m_request(std::move(request))
     , m_requestId(std::move(requestId))
     , m_transcript(std::move(transcript))
+    , m_size(size)
     , m_protocol(protocol)
     , m_software(std::move(software))
     , m_onHead(std::move(onHead))
--- a/src/request/rollout/itemrun.h
+++ b/src/request/rollout/itemrun.h
@@ -7,6 +7,7 @@
 
 #include "base/enumtable.h"
 #include "connection/backend/backendpools.h"
+#include "process/health/requestsize.h"
 #include "request/rollout/transcript.h"
 #include "request/serverprotocol/headobservation.h"
 
@@ -58,8 +59,9 @@
     //! A response that does not carry \a requestId belongs to another request. \a software is the
     //! software version of the engine.
     ItemRun(connection::http::Request request, std::string requestId,
-            std::shared_ptr<Transcript> transcript, const serverprotocol::IServerProtocol &protocol,
-            std::string software, serverprotocol::HeadObserver onHead);
+            process::health::RequestSize size, std::shared_ptr<Transcript> transcript,
+            const serverprotocol::IServerProtocol &protocol, std::string software,
+            serverprotocol::HeadObserver onHead);
 
     auto run(std::shared_ptr<connection::backend::BackendPool> pool)
         -> boost::asio::awaitable<RunOutcome>;
@@ -72,6 +74,7 @@
     //! Events received in this run.
     auto runEvents() const -> std::uint32_t { return m_runEvents; }
     auto startedAt() const -> base::TimePoint { return m_startedAt; }
+    auto size() const -> const process::health::RequestSize & { return m_size; }
 
 private:
     auto exchange(connection::http::IHttpConnection &connection)
@@ -89,6 +92,7 @@
     const serverprotocol::IServerProtocol &m_protocol;
     std::string m_software;
     serverprotocol::HeadObserver m_onHead;
+    process::health::RequestSize m_size;
     connection::backend::ConnectionPtr m_connection;
     std::optional<RunOutcome> m_cancelled;
     std::optional<std::uint64_t> m_weightVersion;
--- a/src/request/rollout/openbatch.cpp
+++ b/src/request/rollout/openbatch.cpp
@@ -121,6 +121,21 @@
                                    PLANNED_QUANTILE);
 }
 
+auto requestSize(const OpenBatch &batch, std::size_t index) -> process::health::RequestSize
+{
+    const auto &source = batch.submission->items[index];
+    const auto &item = batch.items[index];
+    auto size = process::health::RequestSize();
+    if (source.tokens == 0 && source.promptTokens == 0) {
+        size.bodyBytes = source.body.size();
+        return size;
+    }
+    const auto generated = std::uint64_t(item.transcript->eventCount()) * item.tokensPerEvent;
+    size.contextTokens = source.promptTokens + generated;
+    size.totalTokens = std::max(source.tokens, size.contextTokens);
+    return size;
+}
+
 auto describeWaiting(const OpenBatch &batch, std::size_t index, std::size_t handle) -> WaitingItem
 {
     const auto &submission = *batch.submission;
@@ -131,6 +146,7 @@
     entry.minVersion = submission.head.minVersion;
     entry.expectedTokens = expectedRemainingTokens(batch, index);
     entry.contextTokens = submission.items[index].promptTokens;
+    entry.size = requestSize(batch, index);
     entry.dueAt = batch.dueAt;
     entry.avoidedEngine = item.avoidedEngine;
     entry.route = item.route;
--- a/src/request/rollout/openbatch.h
+++ b/src/request/rollout/openbatch.h
@@ -79,6 +79,8 @@
     -> std::size_t;
 //! The item's text so far.
 auto progressOf(const OpenBatch &batch, std::size_t index) -> version::batch::Progress;
+//! How large the request of the item's next run is.
+auto requestSize(const OpenBatch &batch, std::size_t index) -> process::health::RequestSize;
 //! The item as the placement sees it. \a handle is returned with its assignment.
 auto describeWaiting(const OpenBatch &batch, std::size_t index, std::size_t handle) -> WaitingItem;
 //! The caller's estimate of the item's whole output, in events.
--- a/src/request/rollout/placement.cpp
+++ b/src/request/rollout/placement.cpp
@@ -76,6 +76,11 @@
 {
     if (!hasFreeSlot(engine) || !mayServe(item, engine) || !canResumeAt(item, engine))
         return false;
+    const auto isRefused = std::ranges::any_of(engine.refusedSizes, [&](const auto &refused) {
+        return process::health::isAsLargeAs(item.size, refused);
+    });
+    if (isRefused)
+        return false;
     // An idle engine may take an item of any size.
     if (engine.cacheTokens == 0 || engine.running == 0)
         return true;
--- a/src/request/rollout/placement.h
+++ b/src/request/rollout/placement.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/timepoint.h"
+#include "process/health/requestsize.h"
 #include "version/routing/routingtable.h"
 
 namespace nutmegplank::request::rollout {
@@ -26,6 +27,8 @@
     double slowdown = 1.0;            //!< Time per event relative to the median engine.
     double eventSeconds = 0;          //!< Expected time per event; 0 if not known of any engine.
     std::uint32_t startsLeft = 0;     //!< Further requests that may be sent to it now.
+    //! Sizes for which it refuses requests now, though it may serve smaller ones.
+    std::vector<process::health::RequestSize> refusedSizes;
     std::map<std::string, std::uint64_t> modelVersion; //!< Weight version by model.
 
     //! Software version of what it generates now; empty if not known for certain.
@@ -37,10 +40,11 @@
 {
     std::size_t handle = 0; //!< Set by the caller and returned in the assignment.
     std::string model;
-    std::uint64_t minVersion = 0;     //!< Oldest weight version allowed.
-    std::uint64_t expectedTokens = 0; //!< Estimated output still to be generated.
-    double remainingEvents = 1.0;     //!< Events still to be generated, by a cautious estimate.
-    std::uint64_t contextTokens = 0;  //!< Cache tokens needed at its start; set to the prompt's.
+    std::uint64_t minVersion = 0;      //!< Oldest weight version allowed.
+    std::uint64_t expectedTokens = 0;  //!< Estimated output still to be generated.
+    double remainingEvents = 1.0;      //!< Events still to be generated, by a cautious estimate.
+    std::uint64_t contextTokens = 0;   //!< Cache tokens needed at its start; set to the prompt's.
+    process::health::RequestSize size; //!< Of the request that its next run sends.
     base::TimePoint dueAt {};
     std::string avoidedEngine;       //!< Engine that failed it, or was slow.
     bool hasText = false;            //!< The next run resumes a text.
--- a/src/request/rollout/rolloutexecutor.cpp
+++ b/src/request/rollout/rolloutexecutor.cpp
@@ -292,11 +292,13 @@
     const auto *server = m_dependencies.servers.find(engine.id);
     if (server == nullptr || item.route == nullptr)
         return;
+    const auto size = requestSize(batch, key.item);
     item.run = std::make_shared<ItemRun>(
         buildItemRequest(batch, key.item, engine, m_dependencies.protocol,
                          m_dependencies.wallClockMs()),
-        batch.submission->items[key.item].id, item.transcript, m_dependencies.protocol,
-        engine.confirmedSoftware(), m_loadTracker.headObserver(engine.id, m_dependencies.now()));
+        batch.submission->items[key.item].id, size, item.transcript, m_dependencies.protocol,
+        engine.confirmedSoftware(),
+        m_loadTracker.headObserver(engine.id, size, m_dependencies.now()));
     item.state = ItemState::Running;
     item.engine = engine.id;
     item.engineIncarnation = server->record.incarnation;
--- a/src/request/rollout/tests/rolloutplacement_tests.cpp
+++ b/src/request/rollout/tests/rolloutplacement_tests.cpp
@@ -142,3 +142,17 @@
     item.route = nullptr;
     EXPECT_TRUE(placeItems({ item }, engines).empty());
 }
+
+//! Items that were larger than an engine's memory kept the engine from all others (review/13).
+TEST(RolloutPlacement, PlaceItems_SizeRefusedByAnEngine_LeavesItToSmallerItems)
+{
+    auto engines = std::vector { makeEngine("a", 1) };
+    engines[0].refusedSizes = { { 20'000, 20'200, 0 } };
+    auto large = makeItem(0, 200);
+    large.size = { 25'000, 25'200, 0 };
+    auto small = makeItem(1, 100);
+    small.size = { 271, 521, 0 };
+    const auto assignments = placeItems({ large, small }, engines);
+    ASSERT_EQ(assignments.size(), 1U);
+    EXPECT_EQ(assignments[0].handle, 1U);
+}
--- a/src/request/scoring/scoringcall.cpp
+++ b/src/request/scoring/scoringcall.cpp
@@ -33,6 +33,13 @@
     , m_onHead(std::move(onHead))
 { }
 
+auto ScoringCall::sizeOf(const version::batch::Scorer &scorer) -> process::health::RequestSize
+{
+    auto size = process::health::RequestSize();
+    size.bodyBytes = scorer.body.size();
+    return size;
+}
+
 auto ScoringCall::buildRequest() const -> http::Request
 {
     auto request = http::Request();
--- a/src/request/scoring/scoringcall.h
+++ b/src/request/scoring/scoringcall.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "connection/backend/backendpool.h"
+#include "process/health/requestsize.h"
 #include "request/scoring/scoringdecision.h"
 #include "request/serverprotocol/headobservation.h"
 #include "version/batch/batch.h"
@@ -31,6 +32,8 @@
 
     auto run(std::shared_ptr<connection::backend::BackendPool> pool)
         -> boost::asio::awaitable<CallOutcome>;
+    auto size() const -> process::health::RequestSize { return sizeOf(m_scorer); }
+    static auto sizeOf(const version::batch::Scorer &scorer) -> process::health::RequestSize;
     //! Closes the connection; run() then returns CallEnd::Cancelled.
     auto cancel() -> void;
 
--- a/src/request/scoring/scoringplacement.cpp
+++ b/src/request/scoring/scoringplacement.cpp
@@ -21,6 +21,16 @@
     return server.slots > reserved ? server.slots - reserved : 1;
 }
 
+auto mayTake(const ScoringServer &server, const WaitingCall &call) -> bool
+{
+    if (server.service != call.service || server.startsLeft == 0
+        || server.running >= maxRunning(server))
+        return false;
+    return std::ranges::none_of(server.refusedSizes, [&](const auto &refused) {
+        return process::health::isAsLargeAs(call.size, refused);
+    });
+}
+
 auto placementCost(const WaitingCall &call, const ScoringServer &server) -> double
 {
     const auto latency = server.latency.count() > 0 ? server.latency : DEFAULT_LATENCY;
@@ -42,8 +52,7 @@
         auto bestCost = std::numeric_limits<double>::max();
         for (auto index = std::size_t(0); index < servers.size(); ++index) {
             const auto &server = servers[index];
-            if (server.service != call.service || server.startsLeft == 0
-                || server.running >= maxRunning(server))
+            if (!mayTake(server, call))
                 continue;
             const auto cost = placementCost(call, server);
             if (cost >= bestCost)
--- a/src/request/scoring/scoringplacement.h
+++ b/src/request/scoring/scoringplacement.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/timepoint.h"
+#include "process/health/requestsize.h"
 
 namespace nutmegplank::request::scoring {
 
@@ -16,6 +17,8 @@
     std::uint32_t slots = 1;
     std::uint32_t running = 0;    //!< Scoring calls of this process.
     std::uint32_t startsLeft = 0; //!< Further requests that may be sent to it now.
+    //! Sizes for which it refuses calls now, though it may serve smaller ones.
+    std::vector<process::health::RequestSize> refusedSizes;
     base::Duration latency { 0 }; //!< Smoothed duration of its calls; 0 if not known.
 };
 
@@ -28,6 +31,7 @@
     std::uint32_t unfinishedInGroup =
         1;                     //!< Items of the group without a result, this one included.
     std::string avoidedServer; //!< Failed or did not answer the last call.
+    process::health::RequestSize size;
 };
 
 struct CallAssignment
--- a/src/request/scoring/scoringrunner.cpp
+++ b/src/request/scoring/scoringrunner.cpp
@@ -104,7 +104,8 @@
         if (route == nullptr)
             continue;
         waiting.push_back({ entries.size(), serviceFor(*route, state.job.scorer), state.job.dueAt,
-                            m_dependencies.unfinishedInGroup(key), state.avoidedServer });
+                            m_dependencies.unfinishedInGroup(key), state.avoidedServer,
+                            ScoringCall::sizeOf(state.job.scorer) });
         entries.push_back(entry);
     }
     if (waiting.empty())
@@ -138,6 +139,7 @@
             const auto &id = server->record.id;
             auto entry = ScoringServer { id, service, server->record.slots };
             entry.startsLeft = m_dependencies.health.startsLeft(id, server->coldUntil, rule, now);
+            entry.refusedSizes = m_dependencies.health.refusedSizes(id, now);
             const auto state = m_serverStates.find(id);
             if (state != m_serverStates.end()) {
                 entry.running = state->second.running;
@@ -184,7 +186,7 @@
     const auto &id = server.record.id;
     const auto outcome = co_await call->run(m_dependencies.pools.pool(id, server.record.endpoint));
     --m_serverStates[id].running;
-    noteServer(id, outcome, startedAt);
+    noteServer(id, outcome, call->size(), startedAt);
     const auto found = m_entries.find(key);
     if (found != m_entries.end() && found->second.call == call)
         finishCall(found, outcome);
@@ -193,13 +195,15 @@
 }
 
 auto ScoringRunner::noteServer(const std::string &server, const CallOutcome &outcome,
-                               base::TimePoint startedAt) -> void
+                               const process::health::RequestSize &size, base::TimePoint startedAt)
+    -> void
 {
     const auto now = m_dependencies.now();
     auto &state = m_serverStates[server];
     switch (outcome.end) {
     case CallEnd::Scored:
     case CallEnd::Failed: {
+        m_dependencies.health.noteTaken(server, size);
         const auto duration = now - startedAt;
         state.latency = state.latency.count() == 0
             ? duration
@@ -209,7 +213,7 @@
         return;
     }
     case CallEnd::NotRun:
-        m_dependencies.health.noteFull(server, now);
+        m_dependencies.health.noteRefused(server, size, startedAt, now);
         return;
     case CallEnd::WrongServer:
         m_dependencies.health.noteWrongServer(server, now);
--- a/src/request/scoring/scoringrunner.h
+++ b/src/request/scoring/scoringrunner.h
@@ -107,7 +107,7 @@
     auto runCall(ScoringKey key, std::shared_ptr<ScoringCall> call, process::servers::Server server)
         -> boost::asio::awaitable<void>;
     auto noteServer(const std::string &server, const CallOutcome &outcome,
-                    base::TimePoint startedAt) -> void;
+                    const process::health::RequestSize &size, base::TimePoint startedAt) -> void;
     auto finishCall(Entries::iterator found, const CallOutcome &outcome) -> void;
 
     ScoringDependencies m_dependencies;
--- a/src/request/serverprotocol/iserverprotocol.h
+++ b/src/request/serverprotocol/iserverprotocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -24,6 +25,7 @@
 //! Metadata in the head of a response, in addition to its status.
 struct ResponseMetadata
 {
+    std::uint32_t status = 0;
     std::string requestId;    //!< Id of the request it belongs to; empty if not given.
     bool notRun = false;      //!< The server states that it did not run the request.
     bool wrongServer = false; //!< Another server or weight version is at the address.
@@ -32,6 +34,11 @@
     std::optional<std::uint64_t> weightVersion;
     bool leaving = false;               //!< The server states that it is about to end.
     std::optional<double> requestLimit; //!< Requests per second, over all machines.
+
+    //! Whether the server began to run the request, by the head of its answer.
+    auto isTaken() const -> bool;
+    //! Whether the answer faults the request itself: the server serves others as before.
+    auto faultsRequest() const -> bool;
 };
 
 //! Writes metadata to requests for backend servers and reads it from their responses.
--- a/src/request/serverprotocol/ownresponse.cpp
+++ b/src/request/serverprotocol/ownresponse.cpp
@@ -32,6 +32,7 @@
         if (!head.ok())
             co_return head.status();
         result.metadata = protocol.readHead(*head);
+        result.metadata.status = head->status;
         if (isOwn(result.metadata, requestId)) {
             result.head = std::move(*head);
             co_return result;
