A 4xx to an item or a scoring call is no loss of its server

Cause: any status but 200, 421, 422, 500 and refusals counted as a broken run, which pauses the engine for 0.3 to 3 s for everybody; the same for scoring calls and for forwarded requests whose 4xx bears no stamp. A 400 that says "not executed" counted as a full server.

Change: a 4xx other than 408, 421 and 429 faults the request (ResponseMetadata::faultsRequest). The server counts as sound; the item or call goes elsewhere with a delay of 20 ms to 4 s (2 s for calls) and is still owed. 4 s, since an item at no server for 5 s counts as left alone.

--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -389,7 +389,8 @@
         progress.unavailable.insert(id);
         return;
     case AttemptOutcome::Lost:
-        m_dependencies.health.noteLost(id, coldStartRule(server.record.service), now);
+        if (!attempt.faultsRequest)
+            m_dependencies.health.noteLost(id, coldStartRule(server.record.service), now);
         break;
     case AttemptOutcome::NoRoom:
     case AttemptOutcome::TooLarge:
--- a/src/request/rollout/engineloadtracker.cpp
+++ b/src/request/rollout/engineloadtracker.cpp
@@ -126,7 +126,9 @@
         if (!run.gotHead() || run.runEvents() == 0)
             m_health.noteLost(id, coldStartRule(server.record.service), now);
         return;
+    case RunEnd::Rejected:
     case RunEnd::Foreign:
+    case RunEnd::Unstamped:
     case RunEnd::Malformed:
     case RunEnd::Oversized:
     case RunEnd::Outdated:
--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -25,6 +25,7 @@
 
 constexpr auto STATUS_OK = 200U;
 constexpr auto STATUS_UNPROCESSABLE = 422U;
+constexpr auto STATUS_TOO_MANY = 429U;
 constexpr auto STATUS_SERVER_ERROR = 500U;
 
 auto readTimeout() -> base::Duration
@@ -46,8 +47,8 @@
                  serverprotocol::HeadObserver onHead)
     : m_request(std::move(request))
     , m_requestId(std::move(requestId))
-    , m_transcript(std::move(transcript))
     , m_size(size)
+    , m_transcript(std::move(transcript))
     , m_protocol(protocol)
     , m_software(std::move(software))
     , m_onHead(std::move(onHead))
@@ -119,12 +120,14 @@
         return RunOutcome {
             RunEnd::WrongServer, head.status, "other server or weight version", {}
         };
-    if (metadata.notRun)
-        return RunOutcome { RunEnd::NotRun, head.status, "refused without being run", {} };
     if (head.status == STATUS_UNPROCESSABLE)
         return RunOutcome { RunEnd::Impossible, head.status, "item rejected by the engine", {} };
     if (head.status == STATUS_SERVER_ERROR)
         return RunOutcome { RunEnd::Failed, head.status, "server reported an internal error", {} };
+    if (metadata.faultsRequest())
+        return RunOutcome { RunEnd::Rejected, head.status, "item faulted by the engine", {} };
+    if (metadata.notRun || head.status == STATUS_TOO_MANY)
+        return RunOutcome { RunEnd::NotRun, head.status, "refused without being run", {} };
     return RunOutcome { RunEnd::Broken, head.status, "unexpected HTTP status", {} };
 }
 
--- a/src/request/rollout/itemrun.h
+++ b/src/request/rollout/itemrun.h
@@ -22,6 +22,8 @@
     WrongServer, //!< The address belongs to another server, or the weights have another version.
     Failed,      //!< The engine ran the item and returned an error.
     Impossible,  //!< The engine rejected the item as one that can never be run.
+    Rejected,    //!< The engine faults this item, but may take it later.
+    Unstamped,   //!< The response bears no stamp of an engine; nobody knows whose it is.
     Broken,      //!< Incomplete or unexpected response; text received so far is valid.
     Malformed,   //!< The response is invalid and its text cannot be used.
     Oversized,   //!< More text than the item may have; the text cannot be used.
@@ -29,7 +31,7 @@
     Cancelled,   //!< Ended by this process, e.g. to move the item to another engine.
 };
 
-constexpr auto RUN_END_NAMES = base::EnumTable<RunEnd, 12> { {
+constexpr auto RUN_END_NAMES = base::EnumTable<RunEnd, 14> { {
     { RunEnd::Completed, "completed" },
     { RunEnd::Unreachable, "unreachable" },
     { RunEnd::Foreign, "foreign" },
@@ -37,6 +39,8 @@
     { RunEnd::WrongServer, "wrong_server" },
     { RunEnd::Failed, "failed" },
     { RunEnd::Impossible, "impossible" },
+    { RunEnd::Rejected, "rejected" },
+    { RunEnd::Unstamped, "unstamped" },
     { RunEnd::Broken, "broken" },
     { RunEnd::Malformed, "malformed" },
     { RunEnd::Oversized, "oversized" },
@@ -70,11 +74,11 @@
 
     //! Time of the last event, or of the start if there is none yet.
     auto lastProgressAt() const -> base::TimePoint { return m_lastProgressAt; }
+    auto size() const -> const process::health::RequestSize & { return m_size; }
     auto gotHead() const -> bool { return m_gotHead; }
     //! Events received in this run.
     auto runEvents() const -> std::uint32_t { return m_runEvents; }
     auto startedAt() const -> base::TimePoint { return m_startedAt; }
-    auto size() const -> const process::health::RequestSize & { return m_size; }
 
 private:
     auto exchange(connection::http::IHttpConnection &connection)
@@ -88,11 +92,11 @@
 
     connection::http::Request m_request;
     std::string m_requestId;
+    process::health::RequestSize m_size;
     std::shared_ptr<Transcript> m_transcript;
     const serverprotocol::IServerProtocol &m_protocol;
     std::string m_software;
     serverprotocol::HeadObserver m_onHead;
-    process::health::RequestSize m_size;
     connection::backend::ConnectionPtr m_connection;
     std::optional<RunOutcome> m_cancelled;
     std::optional<std::uint64_t> m_weightVersion;
--- a/src/request/rollout/rundecision.h
+++ b/src/request/rollout/rundecision.h
@@ -12,6 +12,7 @@
     std::uint32_t engineFailures = 0;   //!< The engine ran the item and returned an error.
     std::uint32_t connectionLosses = 0; //!< The connection was lost during the run.
     std::uint32_t oversizedTexts = 0;   //!< The engine sent more text than the item may have.
+    std::uint32_t rejections = 0;       //!< The engine faulted the item.
 };
 
 enum class NextStep {
@@ -34,7 +35,9 @@
 //! \a maxAttempts: an item is given up only if an engine that ran it reports the failure. Lost
 //! connections and texts that are too large are retried without limit, with a delay that grows
 //! fourfold up to half a second: an item under which engines crashed, or that one of them never
-//! ends, is still owed. Counts this run in \a failureCounts.
+//! ends, is still owed. So is one that engines fault for another reason than that it can never be
+//! run, with a longer delay: it takes a slot of an engine each time. Counts this run in \a
+//! failureCounts.
 auto decideNextStep(RunEnd end, std::uint32_t maxAttempts, FailureCounts &failureCounts)
     -> RunDecision;
 
--- a/src/request/rollout/tests/rundecision_tests.cpp
+++ b/src/request/rollout/tests/rundecision_tests.cpp
@@ -59,3 +59,21 @@
     }
     EXPECT_EQ(failureCounts.engineFailures, 0U);
 }
+
+//! An engine's 4xx to an item counted as the engine's loss, and the item was sent again at once.
+TEST(RunDecision, RunDecision_FaultedItem_IsRetriedLaterAndLaterElsewhere)
+{
+    auto failureCounts = FailureCounts();
+    auto longest = nutmegplank::base::Duration(0);
+    for (auto run = 0; run < 20; ++run) {
+        const auto decision = decideNextStep(RunEnd::Rejected, 2, failureCounts);
+        EXPECT_EQ(decision.step, NextStep::Retry);
+        EXPECT_TRUE(decision.avoidEngine);
+        EXPECT_FALSE(decision.discardText);
+        EXPECT_GE(decision.retryDelay, longest);
+        longest = decision.retryDelay;
+    }
+    // An item that is at no server for 5 s counts as left alone.
+    EXPECT_GE(longest, 2s);
+    EXPECT_LT(longest, 5s);
+}
--- a/src/request/scoring/scoringcall.cpp
+++ b/src/request/scoring/scoringcall.cpp
@@ -111,6 +111,8 @@
 {
     if (metadata.wrongServer)
         return { CallEnd::WrongServer, response.status, {}, "another server has the address" };
+    if (metadata.faultsRequest())
+        return { CallEnd::Rejected, response.status, {}, "call faulted by the server" };
     if (metadata.notRun)
         return { CallEnd::NotRun, response.status, {}, "refused without being run" };
     if (isSuccess(response.status) && metadata.fromServer)
--- a/src/request/scoring/scoringdecision.cpp
+++ b/src/request/scoring/scoringdecision.cpp
@@ -33,6 +33,8 @@
         if (++failures.serverErrors >= std::max(1U, maxAttempts))
             return { ScoringStep::FinishLost };
         return { ScoringStep::Retry, FAILED_DELAY, true };
+    case CallEnd::Rejected:
+        return { ScoringStep::Retry, lossDelay(failures.rejections++), true };
     case CallEnd::Lost:
         return { ScoringStep::Retry, lossDelay(failures.lostCalls++), true };
     case CallEnd::NotRun:
--- a/src/request/scoring/scoringdecision.h
+++ b/src/request/scoring/scoringdecision.h
@@ -13,16 +13,18 @@
     Scored,
     Failed,      //!< The server ran the call and reported an internal error.
     NotRun,      //!< The server refused the call without running it.
+    Rejected,    //!< The server faults this call; it serves others.
     WrongServer, //!< The address belongs to another server now.
     Unreachable, //!< No connection could be made; nothing was sent.
     Lost,        //!< No complete, valid response; the call may have run.
     Cancelled,   //!< Ended by this process.
 };
 
-constexpr auto CALL_END_NAMES = base::EnumTable<CallEnd, 7> { {
+constexpr auto CALL_END_NAMES = base::EnumTable<CallEnd, 8> { {
     { CallEnd::Scored, "scored" },
     { CallEnd::Failed, "failed" },
     { CallEnd::NotRun, "not_run" },
+    { CallEnd::Rejected, "rejected" },
     { CallEnd::WrongServer, "wrong_server" },
     { CallEnd::Unreachable, "unreachable" },
     { CallEnd::Lost, "lost" },
@@ -34,6 +36,7 @@
 {
     std::uint32_t serverErrors = 0; //!< The server reported an internal error.
     std::uint32_t lostCalls = 0;    //!< No complete response arrived.
+    std::uint32_t rejections = 0;   //!< The server faulted the call.
 };
 
 enum class ScoringStep {
--- a/src/request/scoring/scoringrunner.cpp
+++ b/src/request/scoring/scoringrunner.cpp
@@ -224,6 +224,7 @@
         if (state.answeredAt <= startedAt)
             m_dependencies.health.noteLost(server, state.coldRule, now);
         return;
+    case CallEnd::Rejected:
     case CallEnd::Cancelled:
         return;
     }
