Prompts that no engine can hold are refused at once

What callers saw: a batch whose items no engine has the memory for was answered 202; its trainer waited for its whole time and got "lost" after 40 s. A request with such a prompt was sent to six engines and answered 503 with "come again".

Cause: the configuration's memory of engines was used for estimates only.

Change: a request whose prompt no engine of its route can hold by the configuration is refused with 413, as is a batch with fewer than group_count groups without such items. A batch that can become complete is kept with them; by the users' rules they may not be listed as lost before their retention ends.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -10,6 +10,7 @@
 #include "process/clock/pause.h"
 #include "process/logging/logging.h"
 #include "request/forward/answerroom.h"
+#include "request/rollout/memorycheck.h"
 #include "version/batch/batchaccess.h"
 
 namespace nutmegplank::app::node {
@@ -171,6 +172,38 @@
     return !m_parts.shutdown.maySend(route->name, patienceOf(exchange, *route), now);
 }
 
+//! Refuses a request whose prompt no engine of its route has the memory for.
+auto CallService::refuseTooLarge(const Exchange &exchange, const version::routing::Route &route)
+    -> std::optional<Refusal>
+{
+    const auto prompt = exchange.call.size.contextTokens;
+    if (prompt == 0 || request::rollout::mayHoldPrompt(*exchange.table, route, prompt))
+        return std::nullopt;
+    return Refusal { RefusalCode::TooLarge,
+                     base::concat("no engine has the memory for a prompt of ", prompt, " tokens") };
+}
+
+//! Refuses a batch that cannot become complete since prompts are too large for all engines. One
+//! that can is kept with these items, which are listed as lost when their time is up.
+auto CallService::refuseUnrunnable(const Exchange &exchange,
+                                   const version::batch::Submission &submission)
+    -> std::optional<Refusal>
+{
+    const auto unrunnable = request::rollout::findUnrunnable(submission, *exchange.table);
+    if (unrunnable.items == 0)
+        return std::nullopt;
+    logging::warning("batch.unrunnable_items",
+                     { { "batch", submission.head.id },
+                       { "items", unrunnable.items },
+                       { "first_item", unrunnable.firstItem },
+                       { "refused", unrunnable.blocksBatch } });
+    if (!unrunnable.blocksBatch)
+        return std::nullopt;
+    return Refusal { RefusalCode::TooLarge,
+                     base::concat("no engine has the memory for the prompts of ", unrunnable.items,
+                                  " items, the first one ", unrunnable.firstItem) };
+}
+
 auto CallService::handle(http::Request request, http::IHttpResponder &responder)
     -> asio::awaitable<void>
 {
@@ -210,6 +243,8 @@
     } else {
         answer = co_await m_batchCalls.answer(exchange);
     }
+    if (!refusal.has_value() && isRequest && route->kind != RouteKind::Rollout)
+        refusal = refuseTooLarge(exchange, *route);
     auto held = m_parts.heldAnswers.newHolder();
     const auto hasRoom = co_await request::forward::waitForRoom(
         m_parts.heldAnswers, held, answer.body.size(), exchange.receivedAt + ROOM_TIME);
@@ -352,6 +387,9 @@
 }
 
 //! Whether \a submission repeats a batch that was accepted before the configuration had workspaces,
+    const auto unrunnable = refuseUnrunnable(exchange, *submission);
+    if (unrunnable.has_value())
+        co_return refuse(exchange, *unrunnable);
 //! as when the answer to it was lost; nullopt if that batch can't be read.
 auto CallService::repeatsUnowned(const Exchange &exchange,
                                  const version::batch::Submission &submission) const
--- a/src/app/node/callservice.h
+++ b/src/app/node/callservice.h
@@ -53,6 +53,16 @@
     //! Refuses the call or sets its caller.
     auto admit(Exchange &exchange, const version::routing::Route *route) const
         -> std::optional<request::call::Refusal>;
+    static auto refuseTooLarge(const Exchange &exchange, const version::routing::Route &route)
+        -> std::optional<request::call::Refusal>;
+    static auto refuseUnrunnable(const Exchange &exchange,
+                                 const version::batch::Submission &submission)
+        -> std::optional<request::call::Refusal>;
+    using ExchangePtr = std::shared_ptr<const Exchange>;
+
+    //! Runs \a work, and answers for it if this process ends before.
+    auto answerInTime(ExchangePtr exchange, std::function<boost::asio::awaitable<Answer>()> work)
+        -> boost::asio::awaitable<Answer>;
     //! Whether a stopping process must leave the call to another one.
     auto isTooLate(const Exchange &exchange, const version::routing::Route *route) const -> bool;
     auto patienceOf(const Exchange &exchange, const version::routing::Route &route) const
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -56,6 +56,8 @@
         return 401;
     case RefusalCode::Malformed:
         return 400;
+    case RefusalCode::TooLarge:
+        return 413;
     case RefusalCode::Unknown:
         return 502;
     case RefusalCode::Expired:
--- a/src/request/call/call.h
+++ b/src/request/call/call.h
@@ -52,6 +52,7 @@
     NoRoute,
     UnknownKey,
     Malformed,
+    TooLarge,         //!< No backend server has the memory for it. Not run, and never will be.
     NoServer,         //!< No backend server can take the request now.
     StoreUnavailable, //!< The store is unavailable; nothing can be stored now.
     Unsure,           //!< This process cannot tell whether the batch exists, or cannot read it.
@@ -63,11 +64,12 @@
     Stopping,     //!< This process stops before the call could end; not run.
 };
 
-constexpr auto REFUSAL_CODE_NAMES = base::EnumTable<RefusalCode, 13> { {
+constexpr auto REFUSAL_CODE_NAMES = base::EnumTable<RefusalCode, 14> { {
     { RefusalCode::NotReady, "not_ready" },
     { RefusalCode::NoRoute, "no_route" },
     { RefusalCode::UnknownKey, "unknown_key" },
     { RefusalCode::Malformed, "malformed" },
+    { RefusalCode::TooLarge, "too_large" },
     { RefusalCode::NoServer, "no_server" },
     { RefusalCode::StoreUnavailable, "store_away" },
     { RefusalCode::Unsure, "unsure" },
