Late in a planned stop only time limits tell that a request ends in time

Change: from 3 s after SIGTERM on, until when the users excuse cuts, a request is taken if its time limit fits, or its route's where the caller names none. Before, expectation decides as it did. Submissions can be given up with a true answer and are still taken by expectation (mayTry).

ShutdownGate_ShortCalls_AreTakenToTheEnd asked that a call with a time limit of 10 s be taken 0.3 s before the end, which is this fault. It asks the same of a limit of 0.2 s now, to the millisecond, and the old figures of mayTry.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -204,6 +204,25 @@
                                   " items, the first one ", unrunnable.firstItem) };
 }
 
+auto CallService::patienceOf(const Exchange &exchange, const version::routing::Route &route) const
+    -> base::Duration
+{
+    if (exchange.call.timeLeft.count() == 0)
+        return route.timeout;
+    return std::min(route.timeout, exchange.call.timeLeft);
+}
+
+auto CallService::isTooLate(const Exchange &exchange, const version::routing::Route *route) const
+    -> bool
+{
+    const auto now = process::clock::now();
+    if (route == nullptr)
+        return !m_parts.shutdown.hasTimeFor(BATCH_CALL_TIME, now);
+    if (route->kind == RouteKind::Rollout)
+        return !m_parts.shutdown.mayTry(submissionsOf(*route), LONGEST_SUBMISSION, now);
+    return !m_parts.shutdown.maySend(route->name, patienceOf(exchange, *route), now);
+}
+
 auto CallService::handle(http::Request request, http::IHttpResponder &responder)
     -> asio::awaitable<void>
 {
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -447,7 +447,8 @@
     m_membership.setServing(false);
     m_callerServer->announceClose();
     const auto stay = std::chrono::duration_cast<base::Duration>(m_settings.grace * GRACE_SHARE);
-    m_shutdownGate.begin(process::clock::now() + stay);
+    const auto now = process::clock::now();
+    m_shutdownGate.begin(now, now + stay);
     asio::co_spawn(m_runtime.context(), shutDown(), logging::LogTaskFailure("node.shutdown"));
 }
 
--- a/src/request/shutdown/shutdowngate.cpp
+++ b/src/request/shutdown/shutdowngate.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+//! The users excuse that a request is cut which was sent up to this long after the SIGTERM.
+constexpr auto EXPECTING_TIME = std::chrono::seconds(3);
 //! For writing the answer before the process ends.
 constexpr auto ANSWER_MARGIN = std::chrono::milliseconds(100);
 constexpr auto KEPT_DURATIONS = std::size_t(64);
@@ -48,11 +50,28 @@
         durations.pop_front();
 }
 
-auto ShutdownGate::begin(base::TimePoint end) -> void
+ShutdownGate::EndHook::EndHook(ShutdownGate &gate, std::function<void()> hook)
+    : m_gate(gate)
+    , m_hook(m_gate.m_endHooks.insert(m_gate.m_endHooks.end(), std::move(hook)))
+{ }
+
+ShutdownGate::EndHook::~EndHook()
 {
+    m_gate.m_endHooks.erase(m_hook);
+}
+
+auto ShutdownGate::begin(base::TimePoint now, base::TimePoint end) -> void
+{
+    m_expectsUntil = now + EXPECTING_TIME;
     m_lastAnswer = end - ANSWER_MARGIN;
 }
 
+auto ShutdownGate::endCalls() -> void
+{
+    for (const auto &hook : m_endHooks)
+        hook();
+}
+
 auto ShutdownGate::expectedDuration(const std::string &route, base::TimePoint now) const
     -> std::optional<base::Duration>
 {
@@ -70,11 +89,19 @@
 
 auto ShutdownGate::maySend(const std::string &route, base::Duration patience,
                            base::TimePoint now) const -> bool
+{
+    if (m_lastAnswer.has_value() && now > m_expectsUntil)
+        return hasTimeFor(patience, now);
+    return mayTry(route, patience, now);
+}
+
+auto ShutdownGate::mayTry(const std::string &route, base::Duration atMost,
+                          base::TimePoint now) const -> bool
 {
     if (!m_lastAnswer.has_value())
         return true;
-    const auto expected = expectedDuration(route, now).value_or(patience);
-    return hasTimeFor(std::min(expected, patience), now);
+    const auto expected = expectedDuration(route, now).value_or(atMost);
+    return hasTimeFor(std::min(expected, atMost), now);
 }
 
 auto ShutdownGate::hasTimeFor(base::Duration atMost, base::TimePoint now) const -> bool
--- a/src/request/shutdown/shutdowngate.h
+++ b/src/request/shutdown/shutdowngate.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <deque>
+#include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <set>
@@ -43,16 +45,37 @@
         base::TimePoint m_startedAt;
     };
 
-    //! The process ends at \a end.
-    auto begin(base::TimePoint end) -> void;
-    //! Whether a call of \a route that is given up after \a patience can end in time. Always before
-    //! begin().
+    //! A call that is told when no more time is left, until it is destroyed.
+    class EndHook
+    {
+    public:
+        EndHook(ShutdownGate &gate, std::function<void()> hook);
+        EndHook(const EndHook &) = delete;
+        auto operator=(const EndHook &) -> EndHook & = delete;
+        ~EndHook();
+
+    private:
+        ShutdownGate &m_gate;
+        std::list<std::function<void()>>::iterator m_hook;
+    };
+
+    //! The process was told at \a now to stop and ends at \a end.
+    auto begin(base::TimePoint now, base::TimePoint end) -> void;
+    //! Whether a request of \a route that is given up after \a patience may be passed on to a
+    //! server. Always before begin(). In the first seconds after it, requests are expected to last
+    //! as long as the earlier ones of their route. Callers that come later could as well go to
+    //! another machine, so that only the time limit tells that their requests end in time.
     auto maySend(const std::string &route, base::Duration patience, base::TimePoint now) const
         -> bool;
+    //! Whether a call of \a route can end in time that this process itself can give up, with a true
+    //! answer, at any moment. It takes \a atMost.
+    auto mayTry(const std::string &route, base::Duration atMost, base::TimePoint now) const -> bool;
     //! Whether a call that takes \a atMost can end in time.
     auto hasTimeFor(base::Duration atMost, base::TimePoint now) const -> bool;
     //! The earlier of \a until and when a call must end so that its caller gets the answer.
     auto limit(base::TimePoint until) const -> base::TimePoint;
+    //! Tells all calls that are under way to answer now. Runs at limit().
+    auto endCalls() -> void;
     //! Notes that a call of \a route is passed on.
     auto take(const std::string &route, base::TimePoint now) -> TakenCall;
 
@@ -60,7 +83,9 @@
     auto expectedDuration(const std::string &route, base::TimePoint now) const
         -> std::optional<base::Duration>;
 
-    std::optional<base::TimePoint> m_lastAnswer;             //!< Set once the process stops.
+    std::optional<base::TimePoint> m_lastAnswer; //!< Set once the process stops.
+    base::TimePoint m_expectsUntil {};           //!< Then only time limits count.
+    std::list<std::function<void()>> m_endHooks;
     std::unordered_map<std::string, HistoryPtr> m_histories; //!< By route.
 };
 
--- a/src/request/shutdown/tests/shutdowngate_tests.cpp
+++ b/src/request/shutdown/tests/shutdowngate_tests.cpp
@@ -38,7 +38,7 @@
 TEST(ShutdownGate, ShutdownGate_RouteNotMeasured_TakesWhatItsPatienceEnds)
 {
     auto gate = ShutdownGate();
-    gate.begin(START + STAY);
+    gate.begin(START, START + STAY);
     EXPECT_FALSE(gate.maySend(ROUTE, PATIENCE, START));
     EXPECT_TRUE(gate.maySend(ROUTE, 2s, START + 5s));
     EXPECT_FALSE(gate.maySend(ROUTE, 2s, START + 5600ms));
@@ -49,16 +49,43 @@
     auto gate = ShutdownGate();
     learn(gate, 20, 8s);
     learn(gate, 20, 25ms, "orders");
-    gate.begin(START + STAY);
-    EXPECT_TRUE(gate.maySend("orders", PATIENCE, START + 7300ms));
-    EXPECT_FALSE(gate.maySend("orders", PATIENCE, START + 7500ms));
+    gate.begin(START, START + STAY);
+    EXPECT_TRUE(gate.maySend("orders", 200ms, START + 7300ms));
+    EXPECT_FALSE(gate.maySend("orders", 200ms, START + 7301ms));
+    // Those that this process can give up itself.
+    EXPECT_TRUE(gate.mayTry("orders", PATIENCE, START + 7300ms));
+    EXPECT_FALSE(gate.mayTry("orders", PATIENCE, START + 7500ms));
+}
+
+//! Orders of a route whose orders were short before were passed on and cut (review/14).
+TEST(ShutdownGate, ShutdownGate_LateRequests_AreTakenByTheirTimeLimitOnly)
+{
+    auto gate = ShutdownGate();
+    learn(gate, 64, 150ms);
+    gate.begin(START, START + STAY);
+    EXPECT_TRUE(gate.maySend(ROUTE, 9s, START + 2900ms));
+    EXPECT_FALSE(gate.maySend(ROUTE, 9s, START + 3200ms));
+    EXPECT_TRUE(gate.maySend(ROUTE, 4s, START + 3200ms));
+}
+
+TEST(ShutdownGate, ShutdownGate_EndOfCalls_TellsThoseThatAreStillUnderWay)
+{
+    auto gate = ShutdownGate();
+    auto told = std::vector<std::string>();
+    const auto first = ShutdownGate::EndHook(gate, [&] { told.emplace_back("first"); });
+    {
+        const auto ended = ShutdownGate::EndHook(gate, [&] { told.emplace_back("ended"); });
+    }
+    const auto second = ShutdownGate::EndHook(gate, [&] { told.emplace_back("second"); });
+    gate.endCalls();
+    EXPECT_EQ(told, (std::vector<std::string> { "first", "second" }));
 }
 
 TEST(ShutdownGate, ShutdownGate_MeasuredStreams_AreTakenWhileTheyCanEnd)
 {
     auto gate = ShutdownGate();
     learn(gate, 20, 4s);
-    gate.begin(START + STAY);
+    gate.begin(START, START + STAY);
     EXPECT_TRUE(gate.maySend(ROUTE, PATIENCE, START + 2s));
     EXPECT_FALSE(gate.maySend(ROUTE, PATIENCE, START + 3500ms));
     // The caller itself gives up before.
@@ -69,7 +96,7 @@
 {
     auto gate = ShutdownGate();
     learn(gate, 2, 3s);
-    gate.begin(START + STAY);
+    gate.begin(START, START + STAY);
     EXPECT_TRUE(gate.maySend(ROUTE, PATIENCE, START + 1s));
     EXPECT_FALSE(gate.maySend(ROUTE, PATIENCE, START + 2s));
 }
@@ -79,7 +106,7 @@
     auto gate = ShutdownGate();
     learn(gate, 20, 500ms);
     auto running = gate.take(ROUTE, START - 5s);
-    gate.begin(START + STAY);
+    gate.begin(START, START + STAY);
     EXPECT_FALSE(gate.maySend(ROUTE, PATIENCE, START + 2s));
     running.finish(false, START + 2s);
     EXPECT_FALSE(gate.maySend(ROUTE, PATIENCE, START + 2s));
@@ -94,7 +121,7 @@
     {
         const auto forgotten = gate.take(ROUTE, START - 1h);
     }
-    gate.begin(START + STAY);
+    gate.begin(START, START + STAY);
     EXPECT_FALSE(gate.maySend(ROUTE, PATIENCE, START + 3500ms));
     EXPECT_TRUE(gate.maySend(ROUTE, PATIENCE, START + 2s));
 }
@@ -102,7 +129,7 @@
 TEST(ShutdownGate, ShutdownGate_Stopping_LimitsWaits)
 {
     auto gate = ShutdownGate();
-    gate.begin(START + STAY);
+    gate.begin(START, START + STAY);
     EXPECT_EQ(gate.limit(START + 1s), START + 1s);
     EXPECT_EQ(gate.limit(START + 1h), START + 7500ms);
     EXPECT_TRUE(gate.hasTimeFor(2s, START + 5500ms));
@@ -131,7 +158,7 @@
             const auto length = base::Duration(lengths(random));
             gate.take(ROUTE, START - length).finish(true, START);
         }
-        gate.begin(START + STAY);
+        gate.begin(START, START + STAY);
         for (auto sent = START; sent < START + KEPT_ANSWER; sent += EVERY) {
             const auto length = base::Duration(lengths(random));
             if (!gate.maySend(ROUTE, PATIENCE, sent)) {
