A process that stops answers what it could not finish

Cause: nothing answered for calls that were under way when the process ended. Calls on batches were taken by a fixed time, while their waits for the index, the store and room add up to more.

A forwarded request is answered 502 if a server may have run it, else 503; reads of batches 503, submissions and ends 502. Begun streams are cut. A second SIGTERM was and is ignored.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -91,6 +91,25 @@
     return false;
 }
 
+//! An answer that is being made by another coroutine.
+struct PendingAnswer
+{
+    explicit PendingAnswer(asio::io_context &context)
+        : timer(context, asio::steady_timer::time_point::max())
+    { }
+
+    auto end() -> void
+    {
+        ended = true;
+        timer.cancel();
+    }
+
+    asio::steady_timer timer;
+    std::optional<http::Response> answer;
+    std::exception_ptr failure;
+    bool ended = false;
+};
+
 //! Durations of submissions are apart from those of other requests.
 auto submissionsOf(const version::routing::Route &route) -> std::string
 {
@@ -153,25 +172,6 @@
     return std::nullopt;
 }
 
-auto CallService::patienceOf(const Exchange &exchange, const version::routing::Route &route) const
-    -> base::Duration
-{
-    if (exchange.call.timeLeft.count() == 0)
-        return route.timeout;
-    return std::min(route.timeout, exchange.call.timeLeft);
-}
-
-auto CallService::isTooLate(const Exchange &exchange, const version::routing::Route *route) const
-    -> bool
-{
-    const auto now = process::clock::now();
-    if (route == nullptr)
-        return !m_parts.shutdown.hasTimeFor(BATCH_CALL_TIME, now);
-    if (route->kind == RouteKind::Rollout)
-        return !m_parts.shutdown.maySend(submissionsOf(*route), LONGEST_SUBMISSION, now);
-    return !m_parts.shutdown.maySend(route->name, patienceOf(exchange, *route), now);
-}
-
 //! Refuses a request whose prompt no engine of its route has the memory for.
 auto CallService::refuseTooLarge(const Exchange &exchange, const version::routing::Route &route)
     -> std::optional<Refusal>
@@ -243,6 +243,8 @@
         }
     }
     auto refusal = admit(exchange, route);
+    if (!refusal.has_value() && isRequest && route->kind != RouteKind::Rollout)
+        refusal = refuseTooLarge(exchange, *route);
     if (!refusal.has_value() && isTooLate(exchange, route))
         refusal = Refusal { RefusalCode::Stopping, "this machine stops", STOPPING_RETRY };
     if (refusal.has_value()) {
@@ -254,25 +256,55 @@
         co_await forward(exchange, std::move(request), *route, responder);
         co_return;
     }
-    auto answer = Answer();
+    const auto call = std::make_shared<const Exchange>(exchange);
+    auto work = std::function<asio::awaitable<Answer>()>();
     if (isRequest) {
         const auto handle = std::make_shared<request::forward::ForwardHandle>();
         responder.onCallerGone([handle] { handle->cancel(); });
-        answer = co_await submit(exchange, request, *route, handle);
+        // The call's table owns the route.
+        work = [this, call, route, handle,
+                body = std::make_shared<const http::Request>(std::move(request))] {
+            return submit(*call, *body, *route, handle);
+        };
     } else {
-        answer = co_await m_batchCalls.answer(exchange);
+        work = [this, call] { return m_batchCalls.answer(*call); };
     }
-    if (!refusal.has_value() && isRequest && route->kind != RouteKind::Rollout)
-        refusal = refuseTooLarge(exchange, *route);
+    auto answer = co_await answerInTime(call, std::move(work));
     auto held = m_parts.heldAnswers.newHolder();
-    const auto hasRoom = co_await request::forward::waitForRoom(
-        m_parts.heldAnswers, held, answer.body.size(), exchange.receivedAt + ROOM_TIME);
+    const auto roomUntil = m_parts.shutdown.limit(exchange.receivedAt + ROOM_TIME);
+    const auto hasRoom = co_await request::forward::waitForRoom(m_parts.heldAnswers, held,
+                                                                answer.body.size(), roomUntil);
     if (!hasRoom)
         answer = refuse(exchange, { RefusalCode::Unsure, "no room for the answer", STORE_RETRY });
     noteAnswer(exchange, answer.status, "batch call");
     co_await send(std::move(answer), std::move(held), responder);
 }
 
+auto CallService::answerInTime(ExchangePtr exchange, std::function<asio::awaitable<Answer>()> work)
+    -> asio::awaitable<Answer>
+{
+    const auto pending = std::make_shared<PendingAnswer>(m_parts.context);
+    const auto endHook =
+        request::shutdown::ShutdownGate::EndHook(m_parts.shutdown, [pending] { pending->end(); });
+    asio::co_spawn(m_parts.context, std::move(work),
+                   [pending](std::exception_ptr failure, Answer answer) {
+                       pending->failure = std::move(failure);
+                       pending->answer = std::move(answer);
+                       pending->end();
+                   });
+    while (!pending->ended)
+        co_await pending->timer.async_wait(USE_TUPLE);
+    if (pending->failure != nullptr)
+        std::rethrow_exception(pending->failure);
+    if (pending->answer.has_value())
+        co_return std::move(*pending->answer);
+    // Reads can be repeated; what a batch or its end has come to is not known.
+    const auto kind = exchange->call.kind;
+    if (kind == CallKind::ReadResults || kind == CallKind::ReadBody)
+        co_return refuse(*exchange, { RefusalCode::Unsure, "this machine stops", STOPPING_RETRY });
+    co_return refuse(*exchange, { RefusalCode::Unknown, "this machine stops" });
+}
+
 auto CallService::send(Answer answer, process::memory::HeldBytes held,
                        http::IHttpResponder &responder) -> asio::awaitable<void>
 {
@@ -292,6 +324,7 @@
 {
     auto call = request::forward::ForwardCall();
     call.requestId = exchange.call.requestId;
+    call.size = exchange.call.size;
     call.caller = exchange.caller;
     call.route = route;
     call.resumesStream = exchange.call.resumesStream;
@@ -300,6 +333,8 @@
     call.request = m_parts.protocol.toServerRequest(std::move(request));
     const auto handle = std::make_shared<request::forward::ForwardHandle>();
     responder.onCallerGone([handle] { handle->cancel(); });
+    const auto endHook =
+        request::shutdown::ShutdownGate::EndHook(m_parts.shutdown, [handle] { handle->stop(); });
     auto sink = ResponderSink(responder, m_parts.protocol);
     auto taken = m_parts.shutdown.take(route.name, exchange.receivedAt);
     auto result = co_await m_parts.forwarder.forward(std::move(call), handle, sink);
@@ -352,6 +387,9 @@
         co_return refuse(exchange, { RefusalCode::Unknown, "an earlier batch can't be read" });
     if (*repeats)
         co_return m_parts.protocol.writeAccepted(id);
+    const auto unrunnable = refuseUnrunnable(exchange, *submission);
+    if (unrunnable.has_value())
+        co_return refuse(exchange, *unrunnable);
     submission->head.owner = exchange.caller;
     submission->head.configuration = exchange.table->version;
     submission->head.submittedMs = m_parts.trueTime.milliseconds(exchange.receivedAt);
@@ -406,9 +444,6 @@
 }
 
 //! Whether \a submission repeats a batch that was accepted before the configuration had workspaces,
-    const auto unrunnable = refuseUnrunnable(exchange, *submission);
-    if (unrunnable.has_value())
-        co_return refuse(exchange, *unrunnable);
 //! as when the answer to it was lost; nullopt if that batch can't be read.
 auto CallService::repeatsUnowned(const Exchange &exchange,
                                  const version::batch::Submission &submission) const
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -473,6 +473,8 @@
     co_await m_conductor.leave(after(DUTY_SHARE));
     co_await waitForQuiet(startedAt + LEAST_STAY, after(TAKING_SHARE));
     m_callerServer->drain();
+    co_await waitForQuiet(startedAt, m_shutdownGate.limit(after(GRACE_SHARE)));
+    m_shutdownGate.endCalls();
     co_await waitForQuiet(startedAt, after(GRACE_SHARE));
     logging::info("node.stopped",
                   { { "exchanges", m_callerServer->activeExchanges() },
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -240,6 +240,11 @@
             co_return result;
         }
         if (m_dependencies.poisonRequests.isPoison(fingerprint, now)) {
+        if (handle->stopped()) {
+            result.end = progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::NotRun;
+            result.detail = "this machine stops";
+            co_return result;
+        }
             result.end =
                 progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::Quarantined;
             co_return result;
@@ -277,6 +282,9 @@
         if (attemptResult.end == AttemptOutcome::SinkGone || handle->cancelled())
             break;
         noteCrashEvidence(fingerprint, *server, attemptResult, now);
+        // A connection that this process closed says nothing of the server.
+        if (handle->stopped() && attemptResult.end != AttemptOutcome::Answered)
+            continue;
         const auto attemptsExhausted = progress.sent >= std::max(1U, call.route.maxAttempts);
         if (attemptResult.end == AttemptOutcome::Answered) {
             const auto failed = attemptResult.response.status >= SERVER_ERROR;
@@ -420,6 +428,10 @@
         result.refused = http::isRefused(connection.status());
         result.detail = base::describe(connection.status());
     } else if (!handle.cancelled()) {
+    } else if (handle.stopped()) {
+        pool->release(std::move(*connection), m_dependencies.now());
+        result.end = AttemptOutcome::NotRun;
+        result.faultsRequest = true;
         handle.attach(*connection);
         m_attempts.add();
         // The body is lent to the attempt, as a copy of a large one may not fit into memory.
--- a/src/request/forward/forwardhandle.cpp
+++ b/src/request/forward/forwardhandle.cpp
@@ -9,10 +9,17 @@
         m_connection->close();
 }
 
+auto ForwardHandle::stop() -> void
+{
+    m_stopped = true;
+    if (m_connection != nullptr)
+        m_connection->close();
+}
+
 auto ForwardHandle::attach(connection::backend::ConnectionPtr connection) -> void
 {
     m_connection = std::move(connection);
-    if (m_cancelled)
+    if (m_cancelled || m_stopped)
         m_connection->close();
 }
 
--- a/tests/integration/test_stopping.py
+++ b/tests/integration/test_stopping.py
@@ -82,5 +82,152 @@
         self.stop_under_load(0.2, 2.5)
 
 
+class Unfinished(unittest.TestCase):
+    """What a machine that stops can't finish it does not take, or it says so before it ends."""
+
+    SHORT, LONG = 0.02, 9.0
+    #: Seconds after the SIGTERM from which only a time limit tells that a request ends in time.
+    LATE_FROM = 3.2
+    KINDS = ("/orders/1", "/once/1", "/talks/1")
+
+    def setUp(self):
+        self.world = World()
+        self.addCleanup(self.world.close)
+        self.node = next(node for node in self.world.nodes if node is not self.world.holder())
+        self.lock, self.ended, self.threads = threading.Lock(), {}, []
+
+    def connect(self):
+        connection = http.client.HTTPConnection(self.node.ip, self.node.ports["front"], timeout=14)
+        connection.connect()
+        return connection
+
+    def call(self, name, path, connection, method="POST", headers=None):
+        """The status and Retry-After of one call; None if its connection ended without a whole answer."""
+        outcome = None
+        try:
+            connection.request(method, path, b"mats" if method == "POST" else b"", {
+                "Host": HOST, "Authorization": f"Bearer {KEY}", "X-Request-Id": name, **(headers or {})})
+            answer = connection.getresponse()
+            answer.read()
+            outcome = answer.status, answer.getheader("Retry-After")
+        except (OSError, http.client.HTTPException):
+            pass
+        connection.close()
+        with self.lock:
+            self.ended[name] = outcome
+
+    def begin(self, *call, **options):
+        self.threads.append(threading.Thread(target=self.call, args=call, kwargs=options))
+        self.threads[-1].start()
+
+    def set_work(self, seconds):
+        for server in self.world.plains:
+            server.work = seconds
+        for engine in self.world.engines:
+            engine.events, engine.pace = 2, seconds / 2
+
+    def learn(self):
+        """Requests of each kind have been short until now."""
+        self.set_work(self.SHORT)
+        for number in range(70):
+            for path in self.KINDS:
+                self.call(f"learn{path}{number}", path, self.connect())
+        self.assertEqual({outcome[0] for outcome in self.ended.values()}, {200})
+        self.ended.clear()
+
+    def runs(self, name):
+        return sum(run["id"] == name for server in self.world.plains + self.world.engines for run in server.requests)
+
+    def finish(self):
+        self.assertEqual(self.node.popen.wait(GRACE), 0)
+        for thread in self.threads:
+            thread.join(15)
+
+    def check_outcomes(self):
+        for name, outcome in sorted(self.ended.items()):
+            with self.subTest(request=name):
+                self.assertIsNotNone(outcome, "cut")
+                if outcome[0] in (429, 503):
+                    self.assertEqual(self.runs(name), 0)
+
+    def test_late_requests_that_may_outlast_the_machine_are_refused(self):
+        self.learn()
+        self.set_work(self.LONG)
+        limits = {"limited": {"X-Deadline-Ms": "9000"}, "unlimited": {}}
+        early = [(f"{name}{path}{at}", path, self.connect(), at, headers) for name, headers in limits.items()
+                 for path in self.KINDS for at in (0, 1, 2)]
+        # A machine without work ends sooner.
+        self.begin("busy", "/orders/1", self.connect())
+        time.sleep(0.1)
+        self.node.signal(signal.SIGTERM)
+        stopped = time.monotonic()
+        for name, path, connection, at, headers in sorted(early, key=lambda entry: entry[3]):
+            time.sleep(max(0.0, stopped + self.LATE_FROM + at - time.monotonic()))
+            self.begin(name, path, connection, headers=headers)
+        self.finish()
+        busy = self.ended.pop("busy")
+        self.assertEqual(len(self.ended), len(early))
+        for name, outcome in sorted(self.ended.items()):
+            with self.subTest(request=name):
+                self.assertEqual(outcome and outcome[0], 503)
+                self.assertLess(float(outcome[1]), 0.2)
+                self.assertEqual(self.runs(name), 0)
+        self.assertEqual(busy and busy[0], 502)
+
+    def test_early_requests_that_outlast_the_machine_get_an_answer(self):
+        self.learn()
+        self.set_work(self.LONG)
+        self.node.signal(signal.SIGTERM)
+        stopped = time.monotonic()
+        for number in range(6):
+            time.sleep(max(0.0, stopped + 0.3 + 0.4 * number - time.monotonic()))
+            for path in self.KINDS[:2]:
+                self.begin(f"early{path}{number}", path, self.connect(), headers={"X-Deadline-Ms": "10000"})
+        self.finish()
+        print("early requests:", collections.Counter(outcome and outcome[0] for outcome in self.ended.values()))
+        self.check_outcomes()
+        self.assertTrue({outcome[0] for outcome in self.ended.values()} <= {502, 503, 504})
+
+    def test_second_sigterm_changes_nothing(self):
+        self.learn()
+        self.set_work(0.5)
+        kept = [self.connect() for _ in range(15)]
+        self.node.signal(signal.SIGTERM)
+        stopped = time.monotonic()
+        for number, connection in enumerate(kept):
+            time.sleep(max(0.0, stopped + 0.4 * number - time.monotonic()))
+            if number in (2, 5, 9, 14):
+                self.node.signal(signal.SIGTERM)
+            for path in self.KINDS:
+                self.begin(f"second{path}{number}", path, connection if path == self.KINDS[0] else self.connect(),
+                           headers={"X-Deadline-Ms": "1000"})
+        self.finish()
+        self.assertLess(time.monotonic() - stopped, GRACE)
+        self.check_outcomes()
+        self.assertGreater([outcome[0] for outcome in self.ended.values()].count(200), len(self.ended) // 2)
+
+    def test_calls_on_batches_are_answered_while_the_store_is_away(self):
+        for engine in self.world.engines:
+            engine.pace = 3.0
+        self.assertEqual(self.world.submit(self.node, "first", 3), 202)
+        calls = {"read": ("GET", "/v1/lots/first?after=0", {"X-Wait-Ms": "1000"}),
+                 "unknown": ("GET", "/v1/lots/none?after=0", {"X-Wait-Ms": "1000"}),
+                 "body": ("GET", "/v1/items/first?id=item1", {}), "end": ("DELETE", "/v1/lots/first", {})}
+        late = [(f"{kind}{number}", *calls[kind], self.connect()) for number in range(22) for kind in calls]
+        self.world.store.mode = "silent"
+        self.node.signal(signal.SIGTERM)
+        stopped = time.monotonic()
+        for number, (name, method, path, headers, connection) in enumerate(late):
+            time.sleep(max(0.0, stopped + 0.3 * (number // len(calls)) - time.monotonic()))
+            self.begin(name, path, connection, method=method, headers=headers)
+        self.finish()
+        print("calls on batches:", collections.Counter((name.rstrip("0123456789"), outcome and outcome[0])
+                                                       for name, outcome in self.ended.items()))
+        for name, outcome in sorted(self.ended.items()):
+            with self.subTest(call=name):
+                self.assertIsNotNone(outcome, "cut")
+                self.assertNotEqual(outcome[0], 404)
+
+
 if __name__ == "__main__":
     unittest.main()
