Only a server's own answer can be passed on before its end

Change: IAnswerSink::begin takes a ServerHead, which can only be made of a response with a stamp and the request's id. An answer without one ends the attempt at its head.

--- a/src/app/node/respondersink.h
+++ b/src/app/node/respondersink.h
@@ -17,10 +17,11 @@
         , m_protocol(protocol)
     { }
 
-    auto begin(const connection::http::Response &head)
+    auto begin(const request::serverprotocol::ServerHead &head)
         -> boost::asio::awaitable<absl::Status> override
     {
-        co_return co_await m_responder.startStream(m_protocol.toCallerResponse(head));
+        auto answer = m_protocol.toCallerResponse(head.response());
+        co_return co_await m_responder.startStream(std::move(answer));
     }
     auto write(std::string data) -> boost::asio::awaitable<absl::Status> override
     {
--- a/src/request/forward/forwarder.cpp
+++ b/src/request/forward/forwarder.cpp
@@ -68,14 +68,15 @@
     return route.kind == RouteKind::Stream;
 }
 
-//! Whether the answer is a success of a server, of known length. One without a length may never
-//! end, which must show before its caller is told of a success.
-auto mayPassOn(const serverprotocol::OwnResponse &own) -> bool
+//! The head of an answer that may be passed on before its end: a server's success, which nothing
+//! can replace any more.
+auto successHead(const serverprotocol::OwnResponse &own)
+    -> std::optional<serverprotocol::ServerHead>
 {
-    const auto &metadata = own.metadata;
-    return metadata.fromServer && !metadata.notRun && !metadata.wrongServer
-        && own.head.status < FIRST_REDIRECTION
-        && !http::headerValue(own.head.headers, "Content-Length").empty();
+    auto head = serverprotocol::ServerHead::verify(own);
+    if (head.has_value() && head->status() >= FIRST_REDIRECTION)
+        return std::nullopt;
+    return head;
 }
 
 } // namespace
@@ -189,8 +190,8 @@
         candidate.preferred = id == preferredServer;
         candidate.tried = progress.tried.contains(id) || progress.unavailable.contains(id)
             || !m_streamVersions.maySend(call, *server)
-            || !m_requestBytes.fits(id, call.request.body.size(), machineCount);
             || !m_dependencies.health.mayTake(id, call.size, now)
+            || !m_requestBytes.fits(id, call.request.body.size(), machineCount);
         candidates.push_back(std::move(candidate));
     }
     const auto draw = base::hash64(call.requestId, progress.sent);
@@ -239,12 +240,12 @@
             result.detail = "no time left";
             co_return result;
         }
-        if (m_dependencies.poisonRequests.isPoison(fingerprint, now)) {
         if (handle->stopped()) {
             result.end = progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::NotRun;
             result.detail = "this machine stops";
             co_return result;
         }
+        if (m_dependencies.poisonRequests.isPoison(fingerprint, now)) {
             result.end =
                 progress.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::Quarantined;
             co_return result;
@@ -281,10 +282,10 @@
         result.detail = attemptResult.detail;
         if (attemptResult.end == AttemptOutcome::SinkGone || handle->cancelled())
             break;
-        noteCrashEvidence(fingerprint, *server, attemptResult, now);
         // A connection that this process closed says nothing of the server.
         if (handle->stopped() && attemptResult.end != AttemptOutcome::Answered)
             continue;
+        noteCrashEvidence(fingerprint, *server, attemptResult, now);
         const auto attemptsExhausted = progress.sent >= std::max(1U, call.route.maxAttempts);
         if (attemptResult.end == AttemptOutcome::Answered) {
             const auto failed = attemptResult.response.status >= SERVER_ERROR;
@@ -427,11 +428,11 @@
         result.end = AttemptOutcome::Unreachable;
         result.refused = http::isRefused(connection.status());
         result.detail = base::describe(connection.status());
-    } else if (!handle.cancelled()) {
     } else if (handle.stopped()) {
         pool->release(std::move(*connection), m_dependencies.now());
         result.end = AttemptOutcome::NotRun;
         result.faultsRequest = true;
+    } else if (!handle.cancelled()) {
         handle.attach(*connection);
         m_attempts.add();
         // The body is lent to the attempt, as a copy of a large one may not fit into memory.
@@ -488,8 +489,16 @@
     const auto skippedOthers = response->skippedOthers;
     serverprotocol::noteServerHead({ m_dependencies.servers, m_dependencies.health.limits() },
                                    serverId, metadata, sentAt, m_dependencies.now());
+    if (metadata.isTaken())
+        m_dependencies.health.noteTaken(serverId, call.size);
+    if (!metadata.notRun && !metadata.wrongServer && !metadata.fromServer) {
+        result.detail = "the answer bears no stamp of a server";
+        result.faultsRequest = metadata.faultsRequest();
+        co_return result;
+    }
     auto answer = co_await readAnswer(call, connection, std::move(*response), until, sink);
     answer.skippedOthers = skippedOthers;
+    answer.faultsRequest = metadata.faultsRequest();
     if ((metadata.notRun || metadata.wrongServer) && answer.end == AttemptOutcome::Answered) {
         answer.end = AttemptOutcome::NotRun;
         answer.detail = base::concat("refused with status ", answer.response.status);
@@ -497,30 +506,25 @@
     co_return answer;
 }
 
-    if (metadata.isTaken())
-        m_dependencies.health.noteTaken(serverId, call.size);
-    if (!metadata.notRun && !metadata.wrongServer && !metadata.fromServer) {
-        result.detail = "the answer bears no stamp of a server";
-        result.faultsRequest = metadata.faultsRequest();
-        co_return result;
-    }
 auto Forwarder::readAnswer(const ForwardCall &call, http::IHttpConnection &connection,
                            serverprotocol::OwnResponse own, base::TimePoint until,
-    answer.faultsRequest = metadata.faultsRequest();
                            IAnswerSink &sink) -> asio::awaitable<Attempt>
 {
     // At least 1 ms; the unit is microseconds.
     const auto remainingTime = [&] {
         return std::max(base::Duration(1000), until - m_dependencies.now());
     };
-    const auto canPassOn = mayPassOn(own);
+    const auto head = successHead(own);
+    // A plain answer without a length may never end, which must show before its caller is told of a
+    // success.
+    const auto canPassOn = head.has_value() && head->hasLength();
     auto result = Attempt();
     result.end = AttemptOutcome::Answered;
     result.held = m_dependencies.heldAnswers.newHolder();
-    result.streamed = isStream(call.route) && own.head.status < FIRST_REDIRECTION;
+    result.streamed = isStream(call.route) && head.has_value();
     result.response = std::move(own.head);
     if (result.streamed) {
-        const auto headWritten = co_await sink.begin(result.response);
+        const auto headWritten = co_await sink.begin(*head);
         if (!headWritten.ok()) {
             result.end = AttemptOutcome::SinkGone;
             co_return result;
@@ -561,7 +565,7 @@
         until = call.deadline;
         result.streamed = true;
         auto begun = std::exchange(body, std::string());
-        auto written = co_await sink.begin(result.response);
+        auto written = co_await sink.begin(*head);
         if (written.ok())
             written = co_await sink.write(std::move(begun));
         if (!written.ok()) {
--- a/src/request/forward/forwarder.h
+++ b/src/request/forward/forwarder.h
@@ -22,17 +22,18 @@
 #include "request/forward/streamversions.h"
 #include "request/serverprotocol/iserverprotocol.h"
 #include "request/serverprotocol/ownresponse.h"
+#include "request/serverprotocol/serverhead.h"
 #include "version/routing/routingtable.h"
 
 namespace nutmegplank::request::forward {
 
 //! Receives a streamed answer: begin() once with the head, then write() for each part of the body.
-//! An error means that the caller has disconnected.
+//! An error means that the caller has disconnected. Nothing but a server's own answer can be begun.
 class IAnswerSink
 {
 public:
     virtual ~IAnswerSink() = default;
-    virtual auto begin(const connection::http::Response &head)
+    virtual auto begin(const serverprotocol::ServerHead &head)
         -> boost::asio::awaitable<absl::Status> = 0;
     virtual auto write(std::string data) -> boost::asio::awaitable<absl::Status> = 0;
 };
@@ -103,8 +104,8 @@
         //! server may have crashed.
         bool reset = false;
         bool refused = false;       //!< Nothing listens at the server's address.
-        bool skippedOthers = false; //!< Answers to other requests arrived first.
         bool faultsRequest = false; //!< The answer says nothing against its server.
+        bool skippedOthers = false; //!< Answers to other requests arrived first.
         std::string detail;
     };
 
