A connection with one request gets one answer

Change: HttpSession knows whether the answer is none, open or ended. A second head, or a part of a body without a head, ends the connection and is logged as http.answer_out_of_order. It holds for every program, not for this path alone.

--- a/src/connection/http/ihttpresponder.h
+++ b/src/connection/http/ihttpresponder.h
@@ -11,7 +11,9 @@
 namespace nutmegplank::connection::http {
 
 //! The answering side of one HTTP exchange. Either respond() once, or startStream(), writeChunk()
-//! as often as needed and endStream(). An error means that the caller is gone.
+//! as often as needed and endStream(). An error means that the caller is gone. Anything else that
+//! is asked for ends the connection, since the caller could not tell it from its answer: a second
+//! head, or a part of a body without a head.
 class IHttpResponder
 {
 public:
--- a/src/connection/http/internal/httpsession.cpp
+++ b/src/connection/http/internal/httpsession.cpp
@@ -338,7 +338,7 @@
     if (!isProtocolError(error))
         co_return;
     m_keepAlive = false;
-    m_started = false;
+    m_answer = AnswerState::None;
     m_finished = false;
     if (error == beast::http::error::body_limit)
         m_host->note(TurnedAway::TooLarge);
@@ -405,7 +405,7 @@
         const auto hasFirstByte = co_await waitForFirstByte();
         if (!hasFirstByte)
             break;
-        m_started = false;
+        m_answer = AnswerState::None;
         m_finished = false;
         ++m_host->exchanges;
         auto request = co_await readRequest();
@@ -432,9 +432,30 @@
                            { "http.answer", m_peer });
 }
 
+//! Ends the connection if an answer is not where it should be for the next \a step of it.
+template <typename Stream>
+auto HttpSession<Stream>::checkAnswer(AnswerState expected, std::string_view step) -> absl::Status
+{
+    if (m_answer == expected)
+        return absl::OkStatus();
+    if (m_answer == AnswerState::Aborted)
+        return base::makeError(absl::StatusCode::kUnavailable, "the connection was broken",
+                               { "http.answer", m_peer });
+    process::logging::error("http.answer_out_of_order",
+                            { { "peer", m_peer },
+                              { "step", step },
+                              { "state", base::nameOf(ANSWER_STATE_NAMES, m_answer) } });
+    abort();
+    return base::makeError(absl::StatusCode::kFailedPrecondition, "the answer is out of order",
+                           { "http.answer", m_peer });
+}
+
 template <typename Stream>
 auto HttpSession<Stream>::respond(Response response) -> asio::awaitable<absl::Status>
 {
+    const auto inOrder = checkAnswer(AnswerState::None, "respond");
+    if (!inOrder.ok())
+        co_return inOrder;
     if (m_host->draining || m_host->closing)
         m_keepAlive = false;
     auto message = beast::http::response<beast::http::string_body>(
@@ -445,7 +466,7 @@
     message.content_length(message.body().size());
     if (!m_hasBody)
         message.body().clear();
-    m_started = true;
+    m_answer = AnswerState::Ended;
     tcp().expires_after(m_host->limits.load()->writeTime);
     auto [error, bytes] = co_await beast::http::async_write(m_stream, message, USE_TUPLE);
     if (error)
@@ -457,6 +478,9 @@
 template <typename Stream>
 auto HttpSession<Stream>::startStream(Response head) -> asio::awaitable<absl::Status>
 {
+    const auto inOrder = checkAnswer(AnswerState::None, "start_stream");
+    if (!inOrder.ok())
+        co_return inOrder;
     auto message = beast::http::response<beast::http::empty_body>(
         static_cast<beast::http::status>(head.status), m_version);
     copyHeaders(head.headers, message);
@@ -467,7 +491,7 @@
     m_keepAlive = m_keepAlive && chunked;
     message.keep_alive(m_keepAlive);
     message.chunked(chunked);
-    m_started = true;
+    m_answer = AnswerState::Open;
     auto serializer = beast::http::response_serializer<beast::http::empty_body>(message);
     tcp().expires_after(m_host->limits.load()->writeTime);
     auto [error, bytes] = co_await beast::http::async_write_header(m_stream, serializer, USE_TUPLE);
@@ -477,6 +501,9 @@
 template <typename Stream>
 auto HttpSession<Stream>::writeChunk(std::string_view data) -> asio::awaitable<absl::Status>
 {
+    const auto inOrder = checkAnswer(AnswerState::Open, "write_chunk");
+    if (!inOrder.ok())
+        co_return inOrder;
     if (data.empty())
         co_return absl::OkStatus();
     tcp().expires_after(m_host->limits.load()->writeTime);
@@ -493,6 +520,10 @@
 template <typename Stream>
 auto HttpSession<Stream>::endStream() -> asio::awaitable<absl::Status>
 {
+    const auto inOrder = checkAnswer(AnswerState::Open, "end_stream");
+    if (!inOrder.ok())
+        co_return inOrder;
+    m_answer = AnswerState::Ended;
     if (m_version < HTTP_1_1) {
         m_finished = true;
         co_return absl::OkStatus();
@@ -509,6 +540,7 @@
 template <typename Stream>
 auto HttpSession<Stream>::abort() -> void
 {
+    m_answer = AnswerState::Aborted;
     auto ignored = beast::error_code();
     tcp().socket().set_option(asio::socket_base::linger(true, 0), ignored);
     tcp().socket().close(ignored);
--- a/src/connection/http/internal/httpsession.h
+++ b/src/connection/http/internal/httpsession.h
@@ -50,6 +50,21 @@
     std::unordered_map<const void *, OpenConnection> open; //!< By session.
 };
 
+//! How far the answer to the current request is.
+enum class AnswerState {
+    None,
+    Open, //!< Its head was written and parts of its body may follow.
+    Ended,
+    Aborted, //!< The connection is broken.
+};
+
+inline constexpr auto ANSWER_STATE_NAMES = base::EnumTable<AnswerState, 4> { {
+    { AnswerState::None, "none" },
+    { AnswerState::Open, "open" },
+    { AnswerState::Ended, "ended" },
+    { AnswerState::Aborted, "aborted" },
+} };
+
 //! One connection of a caller over \a Stream (plain TCP or TLS).
 template <typename Stream>
 class HttpSession : public IHttpResponder, public std::enable_shared_from_this<HttpSession<Stream>>
@@ -78,7 +93,7 @@
     auto writeChunk(std::string_view data) -> boost::asio::awaitable<absl::Status> override;
     auto endStream() -> boost::asio::awaitable<absl::Status> override;
     auto abort() -> void override;
-    auto started() const -> bool override { return m_started; }
+    auto started() const -> bool override { return m_answer != AnswerState::None; }
     auto onCallerGone(std::function<void()> hook) -> void override;
 
 private:
@@ -101,6 +116,7 @@
     auto watchCaller() -> void;
     auto stopWatching() -> void;
     auto toRequest(Parser &parser) -> Request;
+    auto checkAnswer(AnswerState expected, std::string_view step) -> absl::Status;
     auto writeError(boost::beast::error_code error) const -> absl::Status;
     auto tcp() -> boost::beast::tcp_stream & { return boost::beast::get_lowest_layer(m_stream); }
 
@@ -110,7 +126,7 @@
     boost::beast::flat_buffer m_buffer;
     unsigned m_version = 11;
     bool m_keepAlive = true;
-    bool m_started = false;
+    AnswerState m_answer = AnswerState::None;
     bool m_finished = false;
     bool m_hasBody = true;
     bool m_idle = false;
--- a/src/connection/http/tests/http_tests.cpp
+++ b/src/connection/http/tests/http_tests.cpp
@@ -33,6 +33,29 @@
                     responder.abort();
                     co_return;
                 }
+                if (request.target == "/twice") {
+                    co_await responder.respond(jsonResponse(200, "first"));
+                    co_await responder.respond(jsonResponse(502, "second"));
+                    co_return;
+                }
+                if (request.target == "/second-head") {
+                    co_await responder.startStream(Response());
+                    co_await responder.writeChunk("half");
+                    co_await responder.respond(jsonResponse(502, "refusal"));
+                    co_return;
+                }
+                if (request.target == "/second-stream") {
+                    co_await responder.startStream(Response());
+                    co_await responder.startStream(Response());
+                    co_await responder.writeChunk("half");
+                    co_await responder.endStream();
+                    co_return;
+                }
+                if (request.target == "/headless") {
+                    co_await responder.writeChunk("half");
+                    co_await responder.endStream();
+                    co_return;
+                }
                 if (request.target == "/throw")
                     throw std::runtime_error("unexpected");
                 if (request.target == "/stream") {
@@ -148,3 +171,19 @@
 {
     EXPECT_EQ(exchangeRaw("GET / HTTP/1.1\r\nHost: x\r\n"), "");
 }
+
+//! A refusal was written into the open answer of a stream (review/15).
+TEST_F(HttpTest, Http_SecondHead_EndsTheConnectionAndIsNotWritten)
+{
+    for (const auto *target : { "/twice", "/second-head", "/second-stream", "/headless" }) {
+        const auto answer = exchangeRaw("POST " + std::string(target)
+                                        + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+                                          "Connection: close\r\n\r\n");
+        const auto first = answer.find("HTTP/1.1 ");
+        EXPECT_EQ(answer.find("HTTP/1.1 ", first + 1), std::string::npos) << target << answer;
+        EXPECT_EQ(answer.find("502"), std::string::npos) << target << answer;
+        EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos) << target << answer;
+        EXPECT_TRUE(becomesIdle()) << target;
+    }
+    EXPECT_TRUE(ask({ "POST", "/", {}, "body", "" }).ok());
+}
