Texts of items come from answers with a stamp only

What trainers saw: events without X-Server-Stamp, with a weight version, were taken for an item's text and listed as completed (MIXED).

Cause: ItemRun looked at the status alone.

Change: a success without a stamp ends the run as "unstamped": it is repeated elsewhere, the text from before stays valid, the engine is not blamed.

--- a/src/request/rollout/itemrun.cpp
+++ b/src/request/rollout/itemrun.cpp
@@ -111,6 +111,8 @@
                            const serverprotocol::ResponseMetadata &metadata)
     -> std::optional<RunOutcome>
 {
+    if (head.status == STATUS_OK && !metadata.fromServer)
+        return RunOutcome { RunEnd::Unstamped, head.status, "response without a stamp", {} };
     if (head.status == STATUS_OK) {
         m_weightVersion = metadata.weightVersion;
         m_transcript->beginRun(metadata.weightVersion, m_software);
@@ -122,12 +124,12 @@
         };
     if (head.status == STATUS_UNPROCESSABLE)
         return RunOutcome { RunEnd::Impossible, head.status, "item rejected by the engine", {} };
-    if (head.status == STATUS_SERVER_ERROR)
-        return RunOutcome { RunEnd::Failed, head.status, "server reported an internal error", {} };
     if (metadata.faultsRequest())
         return RunOutcome { RunEnd::Rejected, head.status, "item faulted by the engine", {} };
     if (metadata.notRun || head.status == STATUS_TOO_MANY)
         return RunOutcome { RunEnd::NotRun, head.status, "refused without being run", {} };
+    if (head.status == STATUS_SERVER_ERROR)
+        return RunOutcome { RunEnd::Failed, head.status, "server reported an internal error", {} };
     return RunOutcome { RunEnd::Broken, head.status, "unexpected HTTP status", {} };
 }
 
