A relayed batch counts as kept by its own answer only

Cause: any 2xx from whatever was at another machine's address was passed on as 202 for a batch that nobody may have kept.

Change: the answer must be 202 with the batch's id. Others are logged as relay.odd_answer, and what became of the batch counts as not known.

Measured: CallProtocol_AcceptedBatch_IsToldFromOtherAnswers; the integration test Relayed.* passes as before.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -416,11 +416,13 @@
         const auto now = process::clock::now();
         m_parts.batches.requestFastRetries(now);
         if (!relayed && now >= nextRelay) {
-    call.size = exchange.call.size;
-            const auto elsewhere = co_await m_parts.relay.send(request);
-            if (elsewhere.end == RelayEnd::Answered)
+            const auto isGood = [this, &id](const http::Response &response) {
+                return m_parts.protocol.isAccepted(response, id);
+            };
+            const auto elsewhere = co_await m_parts.relay.send(request, isGood);
+            if (elsewhere == RelayEnd::Answered)
                 co_return m_parts.protocol.writeAccepted(id);
-            const auto unknown = elsewhere.end == RelayEnd::Unknown;
+            const auto unknown = elsewhere == RelayEnd::Unknown;
             mayBeKept = mayBeKept || unknown;
             nextRelay = now + (unknown ? RELAY_AFTER_SILENCE : RELAY_AFTER_REFUSAL);
         }
--- a/src/app/node/relay.cpp
+++ b/src/app/node/relay.cpp
@@ -19,7 +19,6 @@
 constexpr auto CONNECT_TIME = std::chrono::milliseconds(300);
 //! A relayed call is answered with a line.
 constexpr auto MAX_ANSWER_BYTES = std::uint64_t(64 * 1024);
-constexpr auto FIRST_ERROR = 300U;
 constexpr auto STATUS_UNAVAILABLE = 503U;
 
 } // namespace
@@ -35,12 +34,13 @@
     return !http::headerValue(request.headers, RELAY_HEADER).empty();
 }
 
-auto Relay::send(http::Request request) -> boost::asio::awaitable<RelayResult>
+auto Relay::send(http::Request request, std::function<bool(const http::Response &)> isGood)
+    -> boost::asio::awaitable<RelayEnd>
 {
-    auto result = RelayResult();
+    auto end = RelayEnd::NoPeer;
     const auto peers = m_peers();
     if (peers.empty())
-        co_return result;
+        co_return end;
     const auto &peer = peers[base::hash64(std::to_string(++m_turn)) % peers.size()];
     http::removeHopByHopHeaders(request.headers);
     request.headers.push_back({ RELAY_HEADER, "1" });
@@ -52,24 +52,24 @@
     if (!connection.ok()) {
         logging::info("relay.unreachable",
                       { { "peer", peer }, { "problem", base::describe(connection.status()) } });
-        co_return result;
+        co_return end;
     }
-    result.end = RelayEnd::Unknown;
+    end = RelayEnd::Unknown;
     auto response =
         co_await http::exchangeWhole(**connection, request, process::clock::now() + RELAY_TIME);
     (*connection)->close();
     if (!response.ok()) {
         logging::info("relay.unanswered",
                       { { "peer", peer }, { "problem", base::describe(response.status()) } });
-        co_return result;
+        co_return end;
     }
     if (response->status == STATUS_UNAVAILABLE)
-        result.end = RelayEnd::Refused;
-    if (response->status < FIRST_ERROR) {
-        result.end = RelayEnd::Answered;
-        result.response = std::move(*response);
-    }
-    co_return result;
+        end = RelayEnd::Refused;
+    else if (isGood(*response))
+        end = RelayEnd::Answered;
+    else
+        logging::warning("relay.odd_answer", { { "peer", peer }, { "status", response->status } });
+    co_return end;
 }
 
 } // namespace nutmegplank::app::node
--- a/src/app/node/relay.h
+++ b/src/app/node/relay.h
@@ -19,12 +19,6 @@
     Unknown,  //!< It was sent and no answer came.
 };
 
-struct RelayResult
-{
-    RelayEnd end = RelayEnd::NoPeer;
-    connection::http::Response response;
-};
-
 //! Hands a call to another machine of the system when this one cannot reach the platform's store:
 //! often only some machines are cut off from it. A call is relayed once at most.
 class Relay
@@ -33,7 +27,10 @@
     //! \a peers gives the callers' endpoints of the other machines.
     Relay(std::function<std::vector<std::string>()> peers, process::metrics::Registry &metrics);
 
-    auto send(connection::http::Request request) -> boost::asio::awaitable<RelayResult>;
+    //! \a isGood tells whether an answer is the other machine's to this call.
+    auto send(connection::http::Request request,
+              std::function<bool(const connection::http::Response &)> isGood)
+        -> boost::asio::awaitable<RelayEnd>;
     //! Whether another machine has sent this call.
     static auto wasRelayed(const connection::http::Request &request) -> bool;
 
--- a/src/platform/callprotocol.cpp
+++ b/src/platform/callprotocol.cpp
@@ -121,8 +121,6 @@
     return std::ranges::all_of(text, [](char byte) { return byte > ' ' && byte < '\x7f'; });
 }
 
-auto itemHeader(const version::batch::Item &item, std::string_view name) -> std::string
-{
 //! "prompt tokens,maximum output tokens"; zeros if there are none.
 auto readTokenUsage(std::string_view usage) -> process::health::RequestSize
 {
@@ -140,6 +138,8 @@
     return size;
 }
 
+auto itemHeader(const version::batch::Item &item, std::string_view name) -> std::string
+{
     return http::headerValue(item.headers, name);
 }
 
@@ -224,11 +224,11 @@
     call.wait = std::chrono::milliseconds(wait.value_or(0));
     call.resumesStream = !http::headerValue(request.headers, wireheaders::LAST_EVENT_ID).empty();
     call.streamBegunBy = http::headerValue(request.headers, wireheaders::RESUMES);
-    if (call.path.starts_with(BATCH_PREFIX) && request.method == "GET") {
-        call.kind = CallKind::ReadResults;
     call.size = readTokenUsage(http::headerValue(request.headers, wireheaders::TOKEN_USAGE));
     if (call.size.totalTokens == 0)
         call.size.bodyBytes = request.body.size();
+    if (call.path.starts_with(BATCH_PREFIX) && request.method == "GET") {
+        call.kind = CallKind::ReadResults;
         call.batchId = call.path.substr(BATCH_PREFIX.size());
         call.position = parseUnsigned(http::queryValue(request.target, "after")).value_or(0);
     } else if (call.path.starts_with(BATCH_PREFIX) && request.method == "DELETE") {
@@ -323,11 +323,18 @@
 
 auto CallProtocol::writeAccepted(const std::string &requestId) const -> http::Response
 {
-    auto response = http::jsonResponse(202, "{}");
+    auto response = http::jsonResponse(STATUS_ACCEPTED, "{}");
     response.headers.push_back({ wireheaders::REQUEST_ID, requestId });
     return response;
 }
 
+auto CallProtocol::isAccepted(const http::Response &response, const std::string &requestId) const
+    -> bool
+{
+    return response.status == STATUS_ACCEPTED
+        && http::headerValue(response.headers, wireheaders::REQUEST_ID) == requestId;
+}
+
 auto CallProtocol::toServerRequest(http::Request request) const -> http::Request
 {
     const auto host = http::headerValue(request.headers, "Host");
--- a/src/platform/callprotocol.h
+++ b/src/platform/callprotocol.h
@@ -18,6 +18,8 @@
     auto writeRefusal(const request::call::Refusal &refusal, const std::string &requestId) const
         -> connection::http::Response override;
     auto writeAccepted(const std::string &requestId) const -> connection::http::Response override;
+    auto isAccepted(const connection::http::Response &response, const std::string &requestId) const
+        -> bool override;
     auto toServerRequest(connection::http::Request request) const
         -> connection::http::Request override;
     auto toCallerResponse(connection::http::Response response) const
--- a/src/platform/tests/callprotocol_tests.cpp
+++ b/src/platform/tests/callprotocol_tests.cpp
@@ -215,3 +215,34 @@
     EXPECT_EQ(headerValue(response.headers, "Retry-After"), "0.06");
     EXPECT_NE(response.body.find("no_server"), std::string::npos);
 }
+
+//! Whatever answered at another machine's address counted as its word that a batch is kept.
+TEST(CallProtocol, CallProtocol_AcceptedBatch_IsToldFromOtherAnswers)
+{
+    const auto protocol = CallProtocol();
+    EXPECT_TRUE(protocol.isAccepted(protocol.writeAccepted("b1"), "b1"));
+    EXPECT_FALSE(protocol.isAccepted(protocol.writeAccepted("b1"), "b2"));
+    EXPECT_FALSE(protocol.isAccepted(connection::http::jsonResponse(200, "{}"), "b1"));
+    EXPECT_FALSE(protocol.isAccepted(connection::http::jsonResponse(202, "{}"), "b1"));
+}
+
+TEST(CallProtocol, CallProtocol_RequestTooLarge_IsRefusedForGood)
+{
+    const auto refusal = CallProtocol().writeRefusal(
+        { request::call::RefusalCode::TooLarge, "no engine has the memory", base::Duration(0) },
+        "r1");
+    EXPECT_EQ(refusal.status, 413U);
+    EXPECT_TRUE(connection::http::headerValue(refusal.headers, "Retry-After").empty());
+}
+
+TEST(CallProtocol, CallProtocol_SizeOfRequest_IsItsTokensOrItsBody)
+{
+    auto request = connection::http::Request();
+    request.body = "mats";
+    EXPECT_EQ(CallProtocol().readCall(request).size, (process::health::RequestSize { 0, 0, 4 }));
+    request.headers.push_back({ "X-Token-Usage", "540, 400" });
+    EXPECT_EQ(CallProtocol().readCall(request).size,
+              (process::health::RequestSize { 540, 940, 0 }));
+    request.headers.back().value = "540,18446744073709551615";
+    EXPECT_EQ(CallProtocol().readCall(request).size, (process::health::RequestSize { 0, 0, 4 }));
+}
--- a/src/request/call/call.h
+++ b/src/request/call/call.h
@@ -110,6 +110,9 @@
     //! Response to a batch that has been stored.
     virtual auto writeAccepted(const std::string &requestId) const
         -> connection::http::Response = 0;
+    //! Whether \a response says that the batch \a requestId has been stored.
+    virtual auto isAccepted(const connection::http::Response &response,
+                            const std::string &requestId) const -> bool = 0;
     //! Returns \a request as sent to a backend server: without the caller's API key and connection
     //! headers.
     virtual auto toServerRequest(connection::http::Request request) const
