Standalone programs take a success for a server's only if it names its process

Cause: the standalone dispatcher passed on any 2xx as an order's answer. Servers name their process in X-Boot-Id of every answer; what does not is from something else at the address.

Change: a success without X-Boot-Id ends the attempt as truncated, at the head.

Measured: Path, Servers and Loss.test_answers_lost_after_effect_run_once pass; no test of its own.

--- a/src/request/attempt/internal/attempt.cpp
+++ b/src/request/attempt/internal/attempt.cpp
@@ -15,6 +15,7 @@
 using connection::backend::Repeatable;
 
 constexpr auto STATUS_OK = 200U;
+constexpr auto FIRST_REDIRECTION = 300U;
 constexpr auto STATUS_UNAVAILABLE = 503U;
 constexpr auto MIN_IO_TIMEOUT = base::Duration(1000); //!< Microseconds.
 //! Limit of an answer that is not streamed.
@@ -126,7 +127,16 @@
     auto head = co_await connection.readHead(ioTimeout());
     if (!head.ok())
         co_return makeConnectionFailure(head.status());
-    m_hooks.onBootId(http::headerValue(head->headers, "X-Boot-Id"));
+    const auto bootId = http::headerValue(head->headers, "X-Boot-Id");
+    m_hooks.onBootId(bootId);
+    if (bootId.empty() && head->status < FIRST_REDIRECTION) {
+        // Nobody knows whose success this is.
+        connection.close();
+        co_return makeFailure(wire::FAILURE_TRUNCATED,
+                              base::makeError(absl::StatusCode::kDataLoss,
+                                              "the answer does not name its process",
+                                              { "attempt.answer", "" }));
+    }
     const auto refused = head->status == STATUS_UNAVAILABLE
         && http::headerValue(head->headers, "X-Not-Run") == "true";
     if (!m_spec.engine && !refused)
