--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -256,20 +256,20 @@
         co_await forward(exchange, std::move(request), *route, responder);
         co_return;
     }
-    const auto call = std::make_shared<const Exchange>(exchange);
+    const auto shared = std::make_shared<const Exchange>(exchange);
     auto work = std::function<asio::awaitable<Answer>()>();
     if (isRequest) {
         const auto handle = std::make_shared<request::forward::ForwardHandle>();
         responder.onCallerGone([handle] { handle->cancel(); });
-        // The call's table owns the route.
-        work = [this, call, route, handle,
+        // The exchange's table owns the route.
+        work = [this, shared, route, handle,
                 body = std::make_shared<const http::Request>(std::move(request))] {
-            return submit(*call, *body, *route, handle);
+            return submit(*shared, *body, *route, handle);
         };
     } else {
-        work = [this, call] { return m_batchCalls.answer(*call); };
+        work = [this, shared] { return m_batchCalls.answer(*shared); };
     }
-    auto answer = co_await answerInTime(call, std::move(work));
+    auto answer = co_await answerInTime(shared, std::move(work));
     auto held = m_parts.heldAnswers.newHolder();
     const auto roomUntil = m_parts.shutdown.limit(exchange.receivedAt + ROOM_TIME);
     const auto hasRoom = co_await request::forward::waitForRoom(m_parts.heldAnswers, held,
