Test of relayed submissions while either machine stops

Submissions at a machine that is cut off from the store, 10 a second, while it or the machine that keeps them is told to stop and an order holds it to its limit: each is answered, 202 is kept, 503 is not.

--- a/tests/integration/test_stopping.py
+++ b/tests/integration/test_stopping.py
@@ -7,7 +7,8 @@
 import time
 import unittest
 
-from platformworld.world import HOST, KEY, World
+from platformworld.paths import PathsWorld
+from platformworld.world import HOST, KEY, World, eventually
 
 GRACE = 8
 #: Callers go on until the process has ended.
@@ -229,5 +230,83 @@
                 self.assertNotEqual(outcome[0], 404)
 
 
+class UnfinishedRelays(unittest.TestCase):
+    """Submissions that one machine hands to another: when either stops, what their callers hear is true."""
+
+    COUNT = 70
+    INTERVAL = 0.1
+    #: Seconds of each of the store's answers, so that many submissions are under way.
+    SLOW = 0.25
+
+    def setUp(self):
+        self.world = PathsWorld()
+        self.addCleanup(self.world.close)
+        self.relaying, self.keeping, self.other = sorted(self.world.nodes, key=lambda node: node is self.world.holder())
+        self.lock, self.ended = threading.Lock(), {}
+        for server in self.world.plains:
+            server.work = GRACE + 1.0
+        self.world.cut_off(self.relaying)
+        eventually(lambda: self.world.submit(self.relaying, "first", 1) == 202, 10, "a submission relayed")
+        self.world.store.slow = self.SLOW
+
+    @staticmethod
+    def connect(node):
+        connection = http.client.HTTPConnection(node.ip, node.ports["front"], timeout=14)
+        connection.connect()
+        return connection
+
+    def submit(self, batch, connection):
+        self.call(batch, f"/steps/{batch}", self.world.batch(1), connection)
+
+    def call(self, name, path, body, connection):
+        outcome = None
+        try:
+            connection.request("POST", path, body, {
+                "Host": HOST, "Authorization": f"Bearer {KEY}", "X-Request-Id": name, "X-Deadline-Ms": "12000"})
+            answer = connection.getresponse()
+            answer.read()
+            outcome = answer.status
+        except (OSError, http.client.HTTPException):
+            pass
+        connection.close()
+        with self.lock:
+            self.ended[name] = outcome
+
+    def status(self, batch):
+        return self.other.call("GET", f"/v1/lots/{batch}?after=0", headers={"X-Wait-Ms": "200"})[0]
+
+    def stop_while_submissions_run(self, node):
+        connections = [self.connect(self.relaying) for _ in range(self.COUNT)]
+        # A machine without work ends sooner.
+        threads = [threading.Thread(target=self.call, args=("busy", "/orders/1", b"mats", self.connect(node)))]
+        threads[0].start()
+        for number, connection in enumerate(connections):
+            if number == self.COUNT // 10:
+                node.signal(signal.SIGTERM)
+                stopped = time.monotonic()
+            threads.append(threading.Thread(target=self.submit, args=(f"b{number}", connection)))
+            threads[-1].start()
+            time.sleep(self.INTERVAL)
+        self.assertEqual(node.popen.wait(max(0.1, stopped + GRACE - time.monotonic())), 0)
+        for thread in threads:
+            thread.join(15)
+        self.world.store.slow = 0.0
+        self.assertEqual(self.ended.pop("busy"), 502)
+        print("relayed submissions:", collections.Counter(self.ended.values()))
+        self.assertEqual(len(self.ended), self.COUNT)
+        self.assertIn(202, self.ended.values())
+        for batch, outcome in sorted(self.ended.items()):
+            with self.subTest(batch=batch):
+                self.assertIn(outcome, (202, 502, 503))
+                if outcome != 502:
+                    eventually(lambda: self.status(batch) == (200 if outcome == 202 else 404), 5, f"{batch}, {outcome}")
+
+    def test_submissions_are_answered_truly_when_the_machine_that_relays_stops(self):
+        self.stop_while_submissions_run(self.relaying)
+
+    def test_submissions_are_answered_truly_when_the_machine_that_keeps_stops(self):
+        self.stop_while_submissions_run(self.keeping)
+
+
 if __name__ == "__main__":
     unittest.main()
