The weight version that an engine is to have is named by the system alone

Callers saw: 20 items with X-Expect-Version among their own headers kept all three engines from another workspace's step for its 12 s; streams with it got 503.

Cause: the header was passed on. Engines with another version answer 421, which is taken for another server at the address: it gets nothing from anybody for 2 s, and then the next of these items.

--- a/src/platform/serverprotocol.cpp
+++ b/src/platform/serverprotocol.cpp
@@ -46,6 +46,8 @@
         setHeader(request, wireheaders::REQUEST_PRIORITY, std::to_string(*envelope.urgency));
     if (envelope.lastEvent.has_value())
         setHeader(request, wireheaders::LAST_EVENT_ID, std::to_string(*envelope.lastEvent));
+    // A caller's own would make sound servers refuse the request as if they were others.
+    http::removeHeader(request.headers, wireheaders::EXPECTED_WEIGHT_VERSION);
     if (envelope.weightVersion.has_value())
         setHeader(request, wireheaders::EXPECTED_WEIGHT_VERSION,
                   std::to_string(*envelope.weightVersion));
--- a/tests/integration/test_refusedwork.py
+++ b/tests/integration/test_refusedwork.py
@@ -64,11 +64,12 @@
             return Answer(503, {"X-Request-Id": request.headers["x-request-id"], "X-Not-Executed": "1"})
         self.serve_with(engine, refuse)
 
-    def submit_guests(self, count, prompt=LARGE_PROMPT, key=OTHER_KEY, small=0, name="guest"):
+    def submit_guests(self, count, prompt=LARGE_PROMPT, key=OTHER_KEY, small=0, name="guest", headers=None):
         def item(number, prompt):
             return {"id": f"{name}{number}", "path": f"/steps/{name}{number}", "group": f"g{number}",
                     "tokens": prompt + 200, "body": base64.b64encode(b"prompt").decode(),
-                    "headers": {"X-Model": MODEL, "X-Token-Usage": f"{prompt},200", "X-Length-Hint": "6"}}
+                    "headers": {"X-Model": MODEL, "X-Token-Usage": f"{prompt},200", "X-Length-Hint": "6",
+                                **(headers or {})}}
         items = [item(number, prompt) for number in range(count)]
         items += [item(count + number, 200) for number in range(small)]
         body = json.dumps({"step": 1, "model": MODEL, "min_version": 1, "group_count": small or count, "items": items})
@@ -153,6 +154,20 @@
     def test_items_that_engines_fault_as_not_run(self):
         self.check_faulted_items(400, lambda request: {"X-Not-Executed": "1"})
 
+    def test_items_that_name_a_weight_version_of_their_own(self):
+        """The header is the system's: engines that have another version would count as other servers at their addresses."""
+        def refuse(request):
+            if request.headers.get("x-expect-version") != "999":
+                return None
+            return Answer(421, {"X-Request-Id": request.headers["x-request-id"], "X-Not-Executed": "1",
+                                "X-Weight-Versions": "1"})
+        for engine in self.world.engines:
+            self.serve_with(engine, refuse)
+        self.assertEqual(self.submit_guests(20, prompt=200, headers={"X-Expect-Version": "999"})[0], 202)
+        self.check_step_is_done()
+        self.assertEqual(self.talk(200, "stream", {"X-Expect-Version": "999"})[0], 200)
+        self.assertEqual(self.refused, 0)
+
     def test_batch_that_no_engine_can_run_is_refused_at_once(self):
         status, body, took = self.submit_guests(2, prompt=IMPOSSIBLE_PROMPT)
         print(status, body, f"{took:.2f} s")
@@ -176,12 +191,12 @@
         lost = {result["id"] for result in results() if result["state"] == "lost"}
         self.assertEqual(lost, {f"guest{number}" for number in range(IMPOSSIBLE)})
 
-    def talk(self, prompt, request):
+    def talk(self, prompt, request, headers=None):
         connection = http.client.HTTPConnection(self.node.ip, self.node.ports["front"], timeout=12)
         began = time.monotonic()
         connection.request("POST", "/talks/1", b"", {
             "Host": HOST, "Authorization": f"Bearer {OTHER_KEY}", "X-Request-Id": request, "X-Deadline-Ms": "5000",
-            "X-Token-Usage": f"{prompt},200"})
+            "X-Token-Usage": f"{prompt},200", **(headers or {})})
         answer = connection.getresponse()
         answer.read()
         connection.close()
