A batch that was kept is not answered with 503 for want of room

Cause: when answers that callers have not read fill the memory for them, the two bytes of a 202 were replaced by 503 as well, which promises that the batch does not run.

Change: only answers to reads are replaced; isRead() says which these are, as for a process that stops.

--- a/src/app/node/callservice.cpp
+++ b/src/app/node/callservice.cpp
@@ -55,6 +55,12 @@
 constexpr auto LONGEST_SUBMISSION = std::chrono::milliseconds(4600);
 constexpr auto FIRST_ERROR = 400U;
 
+//! A call that can be repeated without a second effect, and whose answer may be long.
+auto isRead(CallKind kind) -> bool
+{
+    return kind == CallKind::ReadResults || kind == CallKind::ReadBody;
+}
+
 auto refusalFor(const request::forward::ForwardResult &result) -> Refusal
 {
     switch (result.end) {
@@ -274,7 +280,8 @@
     const auto roomUntil = m_parts.shutdown.limit(exchange.receivedAt + ROOM_TIME);
     const auto hasRoom = co_await request::forward::waitForRoom(m_parts.heldAnswers, held,
                                                                 answer.body.size(), roomUntil);
-    if (!hasRoom)
+    // What a submission or an end has done stays true without room; such answers are short.
+    if (!hasRoom && isRead(exchange.call.kind))
         answer = refuse(exchange, { RefusalCode::Unsure, "no room for the answer", STORE_RETRY });
     noteAnswer(exchange, answer.status, "batch call");
     co_await send(std::move(answer), std::move(held), responder);
@@ -299,8 +306,7 @@
     if (pending->answer.has_value())
         co_return std::move(*pending->answer);
     // Reads can be repeated; what a batch or its end has come to is not known.
-    const auto kind = exchange->call.kind;
-    if (kind == CallKind::ReadResults || kind == CallKind::ReadBody)
+    if (isRead(exchange->call.kind))
         co_return refuse(*exchange, { RefusalCode::Unsure, "this machine stops", STOPPING_RETRY });
     co_return refuse(*exchange, { RefusalCode::Unknown, "this machine stops" });
 }
